--- /dev/null
+++ b/src/budget/budgetaccount.cpp
@@ -0,0 +1,307 @@
+#include "budget/budgetaccount.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+namespace bamboohold
+{
+
+namespace
+{
+
+/// When to come back after a refusal that tokens returned by other requests or routers may lift.
+constexpr std::int64_t s_retryWhenReleasedMs = 2'000;
+/// When to come back after a refusal that only a top-up can lift.
+constexpr std::int64_t s_retryAfterTopUpMs = 30'000;
+
+}
+
+BudgetAccount::BudgetAccount(std::string budget, AccountPolicy policy)
+    : m_budget(std::move(budget))
+    , m_policy(policy)
+{
+}
+
+Tokens BudgetAccount::aim(Instant now) const
+{
+    const double ahead = m_demand.rate(now) * seconds(m_policy.horizon);
+    const double minimum = m_demand.averageBound() * m_policy.minimumRequests;
+    return static_cast<Tokens>(std::ceil(std::max(ahead, minimum)));
+}
+
+Tokens BudgetAccount::waitersNeed() const
+{
+    Tokens need = 0;
+    for (const Waiter &waiter : m_waiters) {
+        need += waiter.bound;
+    }
+    return need;
+}
+
+bool BudgetAccount::refusalStands(Instant now) const
+{
+    return m_refusal && m_refusal->finalAt && now - *m_refusal->finalAt < m_policy.refusalMemory;
+}
+
+bool BudgetAccount::mayStillAdmit(Tokens bound, const FleetView &fleet, Instant now) const
+{
+    const bool releasesSuffice = m_policy.waitsForReleases && m_reserved > 0 && available() + m_reserved >= bound;
+    if (releasesSuffice) {
+        return true;
+    }
+    if (!fleet.tableReachable) {
+        return false;
+    }
+    return !refusalStands(now) || available() + m_refusal->free >= bound;
+}
+
+Failure BudgetAccount::refusal(Tokens bound, const FleetView &fleet) const
+{
+    if (m_refusal && !m_refusal->exists) {
+        return {.kind = FailureKind::BudgetClosed, .detail = absl::StrCat("budget '", m_budget, "' does not exist")};
+    }
+    if (m_refusal && m_refusal->closed) {
+        return {.kind = FailureKind::BudgetClosed, .detail = absl::StrCat("budget '", m_budget, "' is closed")};
+    }
+    if (!fleet.tableReachable) {
+        return {.kind = FailureKind::BudgetUnreachable,
+                .detail = absl::StrCat("budget '", m_budget, "' needs ", bound, " tokens and more cannot be drawn now"),
+                .retryAfterMs = s_retryWhenReleasedMs};
+    }
+    const bool reservationsOut = m_reserved > 0;
+    return {.kind = FailureKind::BudgetExhausted,
+            .detail = absl::StrCat("budget '", m_budget, "' has too little left for a worst case of ", bound, " tokens"),
+            .retryAfterMs = reservationsOut ? s_retryWhenReleasedMs : s_retryAfterTopUpMs};
+}
+
+ReservationOutcome BudgetAccount::reserve(std::string_view requestId, Tokens bound, const FleetView &fleet, Instant now)
+{
+    assert(bound > 0 && !m_reservations.contains(std::string(requestId)));
+    m_lastFleet = fleet;
+    m_demand.addRequest(bound);
+    ReservationOutcome outcome{.requestId = std::string(requestId)};
+    if (available() >= bound) {
+        m_reservations.emplace(outcome.requestId, bound);
+        m_reserved += bound;
+        outcome.verdict = ReservationOutcome::Verdict::Admitted;
+        return outcome;
+    }
+    if (!mayStillAdmit(bound, fleet, now)) {
+        outcome.failure = refusal(bound, fleet);
+        return outcome;
+    }
+    m_waiters.push_back({.requestId = outcome.requestId, .bound = bound});
+    outcome.verdict = ReservationOutcome::Verdict::Waiting;
+    return outcome;
+}
+
+void BudgetAccount::tighten(std::string_view requestId, Tokens bound)
+{
+    const auto found = m_reservations.find(std::string(requestId));
+    if (found == m_reservations.end() || bound >= found->second) {
+        return;
+    }
+    m_reserved -= found->second - bound;
+    found->second = bound;
+    admitWaiters();
+}
+
+Tokens BudgetAccount::settle(std::string_view requestId, Tokens used, Instant now)
+{
+    const auto found = m_reservations.find(std::string(requestId));
+    if (found == m_reservations.end()) {
+        return 0;
+    }
+    const Tokens charged = std::clamp<Tokens>(used, 0, found->second);
+    m_reserved -= found->second;
+    m_unsettled += charged;
+    m_reservations.erase(found);
+    m_demand.addUse(charged, now);
+    admitWaiters();
+    refuseHopeless(m_lastFleet, now);
+    return charged;
+}
+
+bool BudgetAccount::abandon(std::string_view requestId)
+{
+    const auto found = std::find_if(m_waiters.begin(), m_waiters.end(), [requestId](const Waiter &waiter) {
+        return waiter.requestId == requestId;
+    });
+    if (found == m_waiters.end()) {
+        return false;
+    }
+    m_waiters.erase(found);
+    return true;
+}
+
+void BudgetAccount::admitWaiters()
+{
+    // First fit, not first come: near the end of a budget a large request must not keep the last tokens from small ones that they would serve.
+    for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
+        if (available() < waiter->bound) {
+            ++waiter;
+            continue;
+        }
+        m_reservations.emplace(waiter->requestId, waiter->bound);
+        m_reserved += waiter->bound;
+        m_outcomes.push_back({.requestId = waiter->requestId, .verdict = ReservationOutcome::Verdict::Admitted});
+        waiter = m_waiters.erase(waiter);
+    }
+}
+
+void BudgetAccount::refuseHopeless(const FleetView &fleet, Instant now)
+{
+    // A request that nothing can admit any more is answered now; holding it would only keep its caller from going elsewhere.
+    for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
+        if (mayStillAdmit(waiter->bound, fleet, now)) {
+            ++waiter;
+            continue;
+        }
+        m_outcomes.push_back({.requestId = waiter->requestId, .failure = refusal(waiter->bound, fleet)});
+        waiter = m_waiters.erase(waiter);
+    }
+}
+
+bool BudgetAccount::urgent() const
+{
+    return (!m_waiters.empty() && !m_recallUntil) || m_recalledByPeer > 0;
+}
+
+bool BudgetAccount::wantsDraw(const FleetView &fleet, Instant now)
+{
+    m_lastFleet = fleet;
+    if (m_recallUntil || refusalStands(now)) {
+        return false;
+    }
+    return !m_waiters.empty() || available() < aim(now) / 2;
+}
+
+Tokens BudgetAccount::drawAmount(const BudgetRow &row, const FleetView &fleet, Instant now) const
+{
+    const Tokens missing = std::max<Tokens>(0, aim(now) - std::max<Tokens>(0, available()));
+    const auto drawers = static_cast<double>(std::max<std::size_t>(1, fleet.routers));
+    const auto share = static_cast<Tokens>(static_cast<double>(row.free) * m_policy.shareOfFree / drawers);
+    const Tokens ahead = std::min(missing, share);
+    const Tokens forWaiters = std::max<Tokens>(0, waitersNeed() - available());
+    const Tokens wanted = std::max(ahead, forWaiters);
+    if (wanted <= row.free) {
+        return wanted;
+    }
+    // Not all waiters can be served: take what is left only when it admits at least one of them.
+    const bool admitsSomeone = std::any_of(m_waiters.begin(), m_waiters.end(), [&](const Waiter &waiter) {
+        return waiter.bound <= available() + row.free;
+    });
+    return admitsSomeone ? row.free : 0;
+}
+
+FlushPart BudgetAccount::planFlush(const std::optional<BudgetRow> &row, const FleetView &fleet, Instant now)
+{
+    m_lastFleet = fleet;
+    FlushPart part{.budget = m_budget, .settled = m_unsettled};
+    if (row && wantsDraw(fleet, now)) {
+        part.draw = row->closed || !row->exists ? 0 : drawAmount(*row, fleet, now);
+        if (part.draw == 0 && !m_waiters.empty()) {
+            drawRefused(*row, now);
+        }
+    }
+    if (part.draw == 0 && m_policy.returnsSurplus && (m_waiters.empty() || m_recalledByPeer > 0)) {
+        const auto keep = static_cast<Tokens>(m_policy.surplusFactor * static_cast<double>(aim(now)));
+        const Tokens surplus = std::max<Tokens>(0, available() - keep);
+        part.giveBack = std::clamp(std::max(surplus, m_recalledByPeer), Tokens{0}, std::max<Tokens>(0, available()));
+    }
+    m_recalledByPeer = 0;
+    m_returning = std::max(m_returning, part.giveBack);
+    return part;
+}
+
+void BudgetAccount::confirm(const FlushPart &part, Instant now)
+{
+    m_holding += part.draw - part.giveBack - part.settled;
+    m_unsettled -= part.settled;
+    m_returning = 0;
+    if (part.draw > 0) {
+        m_refusal.reset();
+    }
+    assert(m_holding >= 0 && m_unsettled >= 0 && available() >= 0);
+    admitWaiters();
+    refuseHopeless(m_lastFleet, now);
+}
+
+void BudgetAccount::withdrawPlan()
+{
+    m_returning = 0;
+}
+
+void BudgetAccount::drawRefused(const BudgetRow &row, Instant now)
+{
+    const bool askedPeers = m_refusal && !m_refusal->finalAt && !m_recallUntil;
+    m_refusal = TableRefusal{.free = row.free, .closed = row.closed, .exists = row.exists};
+    const bool peersMayHelp = m_policy.returnsSurplus && m_lastFleet.routers > 1 && !row.closed && row.exists;
+    if (peersMayHelp && !askedPeers) {
+        m_recallWanted = true;
+        m_recallUntil = now + m_policy.recallWindow;
+        return;
+    }
+    m_refusal->finalAt = now;
+    refuseHopeless(m_lastFleet, now);
+}
+
+void BudgetAccount::tableLost(Instant now)
+{
+    m_lastFleet.tableReachable = false;
+    m_recallUntil.reset();
+    refuseHopeless(m_lastFleet, now);
+}
+
+std::optional<Tokens> BudgetAccount::takeRecall(Instant)
+{
+    if (!std::exchange(m_recallWanted, false)) {
+        return std::nullopt;
+    }
+    return std::max<Tokens>(1, waitersNeed() - available());
+}
+
+void BudgetAccount::recallEnded(Tokens returned, Instant now)
+{
+    if (!m_recallUntil) {
+        return;
+    }
+    m_recallUntil.reset();
+    if (returned > 0 || !m_refusal) {
+        // Still marked as refused but not final: the next flush reads the row once more, and its answer ends the matter.
+        return;
+    }
+    m_refusal->finalAt = now;
+    refuseHopeless(m_lastFleet, now);
+}
+
+Tokens BudgetAccount::recalled(bool peerGoesFirst, Instant now)
+{
+    // Two routers that each hold half of what either needs would both keep it and both refuse; the order between them lets one be served.
+    const bool needsItMore = !m_waiters.empty() && !peerGoesFirst;
+    if (!m_policy.returnsSurplus || needsItMore) {
+        return 0;
+    }
+    const auto keep = static_cast<Tokens>(m_demand.rate(now) * seconds(m_policy.recallKeep));
+    const Tokens spare = std::max<Tokens>(0, available() - keep);
+    m_recalledByPeer = std::max(m_recalledByPeer, spare);
+    return spare;
+}
+
+void BudgetAccount::expire(Instant now)
+{
+    if (m_recallUntil && now >= *m_recallUntil) {
+        recallEnded(1, now);
+    }
+}
+
+std::vector<ReservationOutcome> BudgetAccount::takeOutcomes()
+{
+    return std::exchange(m_outcomes, {});
+}
+
+}
--- /dev/null
+++ b/src/budget/budgetrows.cpp
@@ -0,0 +1,54 @@
+#include "budget/budgetrows.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace bamboohold
+{
+
+namespace
+{
+
+std::string joined(std::string_view first, std::string_view second)
+{
+    return std::string(first).append(second);
+}
+
+}
+
+std::string budgetKey(std::string_view budget)
+{
+    return joined(s_budgetPrefix, budget);
+}
+
+std::string grantKey(std::string_view incarnation, std::string_view budget)
+{
+    return joined(joined(s_grantPrefix, incarnation).append("/"), budget);
+}
+
+std::string nodeKey(std::string_view incarnation)
+{
+    return joined(s_nodePrefix, incarnation);
+}
+
+std::string ledgerKey(std::string_view incarnation, std::string_view flushId)
+{
+    return joined(joined(s_ledgerPrefix, incarnation).append("/"), flushId);
+}
+
+BudgetRow readBudgetRow(const TableRow &row)
+{
+    return {.free = integerField(row.fields, "free"), .closed = textField(row.fields, "state") == "closed", .exists = row.version != 0};
+}
+
+boost::json::object newBudgetFields(Tokens prepaid)
+{
+    return {{"prepaid", prepaid}, {"free", prepaid}, {"granted", 0}, {"consumed", 0}, {"state", "open"}};
+}
+
+std::vector<TableOperation> topUpOperations(std::string_view budget, Tokens amount)
+{
+    const std::string key = budgetKey(budget);
+    return {addToField(key, "free", amount, 0), addToField(key, "prepaid", amount, 0)};
+}
+
+}
--- /dev/null
+++ b/src/budget/budgetservice.cpp
@@ -0,0 +1,330 @@
+#include "budget/budgetservice.h"
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "budget/budgetrows.h"
+#include "clock/steadytime.h"
+#include "operations/log.h"
+
+namespace bamboohold
+{
+
+namespace
+{
+
+/// Calls without an answer after which the table counts as out of reach.
+constexpr int s_silencesUntilLost = 2;
+constexpr Duration s_finishPoll = std::chrono::milliseconds(20);
+
+}
+
+/// A request waiting for tokens. Shared by its coroutine and the table through which its outcome finds it.
+struct BudgetService::Waiter {
+    explicit Waiter(const asio::any_io_executor &executor)
+        : timer(executor)
+    {
+    }
+
+    asio::steady_timer timer;
+    std::optional<ReservationOutcome> outcome;
+};
+
+BudgetService::BudgetService(asio::any_io_executor platformLoop, PlatformClient &platform, Options options)
+    : m_loop(std::move(platformLoop))
+    , m_platform(platform)
+    , m_options(std::move(options))
+    , m_flushTimer(m_loop)
+    , m_ledger({.identity = m_options.identity, .policy = m_options.policy})
+{
+}
+
+void BudgetService::setBilledHandler(BilledHandler handler)
+{
+    m_billed = std::move(handler);
+}
+
+void BudgetService::setRecallHandler(RecallHandler handler)
+{
+    m_recall = std::move(handler);
+}
+
+void BudgetService::wakeFlush()
+{
+    asio::post(m_loop, [this] {
+        m_flushTimer.cancel();
+    });
+}
+
+void BudgetService::deliver(std::vector<ReservationOutcome> outcomes)
+{
+    for (ReservationOutcome &outcome : outcomes) {
+        const auto found = m_waiters.find(outcome.requestId);
+        if (found == m_waiters.end()) {
+            continue;
+        }
+        const std::shared_ptr<Waiter> waiter = found->second;
+        waiter->outcome = std::move(outcome);
+        asio::post(waiter->timer.get_executor(), [waiter] {
+            waiter->timer.cancel();
+        });
+        m_waiters.erase(found);
+    }
+}
+
+void BudgetService::afterChange(BudgetAccount &account)
+{
+    deliver(account.takeOutcomes());
+    if (const auto need = account.takeRecall(steadyNow()); need && m_recall) {
+        // Outside the lock: the handler takes the link's.
+        asio::post(m_loop, [this, budget = account.budget(), amount = *need] {
+            m_recall(budget, amount);
+        });
+    }
+}
+
+asio::awaitable<absl::Status> BudgetService::reserve(std::string budget, std::string requestId, Tokens bound, Duration patience)
+{
+    auto waiter = std::make_shared<Waiter>(co_await asio::this_coro::executor);
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_ledger.fenced()) {
+            co_return toStatus({.kind = FailureKind::Fenced, .detail = "this router was declared dead and restarts", .retryAfterMs = 1000});
+        }
+        BudgetAccount &account = m_ledger.account(budget);
+        const ReservationOutcome outcome = account.reserve(requestId, bound, m_fleet, steadyNow());
+        if (outcome.verdict == ReservationOutcome::Verdict::Admitted) {
+            co_return absl::OkStatus();
+        }
+        if (outcome.verdict == ReservationOutcome::Verdict::Refused) {
+            co_return toStatus(outcome.failure);
+        }
+        m_waiters.emplace(requestId, waiter);
+        wakeFlush();
+    }
+    waiter->timer.expires_after(patience);
+    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    const std::lock_guard lock(m_mutex);
+    if (!waiter->outcome) {
+        m_waiters.erase(requestId);
+        if (m_ledger.account(budget).abandon(requestId)) {
+            co_return failed(FailureKind::DeadlineExceeded, "the deadline passed while the request waited for tokens");
+        }
+    }
+    if (waiter->outcome && waiter->outcome->verdict == ReservationOutcome::Verdict::Refused) {
+        co_return toStatus(waiter->outcome->failure);
+    }
+    co_return absl::OkStatus();
+}
+
+void BudgetService::tighten(std::string_view budget, std::string_view requestId, Tokens bound)
+{
+    const std::lock_guard lock(m_mutex);
+    BudgetAccount &account = m_ledger.account(budget);
+    account.tighten(requestId, bound);
+    afterChange(account);
+}
+
+Tokens BudgetService::settle(Charge charge, Tokens used)
+{
+    const std::lock_guard lock(m_mutex);
+    BudgetAccount &account = m_ledger.account(charge.budget);
+    charge.tokens = account.settle(charge.requestId, used, steadyNow());
+    const Tokens charged = charge.tokens;
+    m_ledger.addCharge(std::move(charge));
+    afterChange(account);
+    return charged;
+}
+
+Tokens BudgetService::recalled(std::string_view budget, std::string_view peer)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_ledger.accounts().find(budget);
+    if (found == m_ledger.accounts().end()) {
+        return 0;
+    }
+    const Tokens spare = m_ledger.account(budget).recalled(peer < m_options.identity.incarnation, steadyNow());
+    if (spare > 0) {
+        wakeFlush();
+    }
+    return spare;
+}
+
+void BudgetService::setRouters(std::size_t routers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_fleet.routers = std::max<std::size_t>(1, routers);
+}
+
+bool BudgetService::fenced() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ledger.fenced();
+}
+
+std::vector<BudgetService::Row> BudgetService::rows() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Row> rows;
+    for (const auto &[name, account] : m_ledger.accounts()) {
+        rows.push_back({.budget = name,
+                        .holding = account.holding(),
+                        .reserved = account.reserved(),
+                        .unsettled = account.unsettled(),
+                        .waiting = account.waiting()});
+    }
+    return rows;
+}
+
+void BudgetService::tableAnswered()
+{
+    m_silences = 0;
+    const std::lock_guard lock(m_mutex);
+    m_fleet.tableReachable = true;
+}
+
+void BudgetService::tableSilent()
+{
+    if (++m_silences < s_silencesUntilLost) {
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    if (m_fleet.tableReachable) {
+        logLine(Severity::Warning, "the platform's table is out of reach");
+    }
+    m_fleet.tableReachable = false;
+    for (const auto &[name, ignored] : m_ledger.accounts()) {
+        BudgetAccount &account = m_ledger.account(name);
+        account.tableLost(steadyNow());
+        afterChange(account);
+    }
+}
+
+asio::awaitable<bool> BudgetService::readRows(std::map<std::string, BudgetRow, std::less<>> &rows)
+{
+    std::vector<std::string> keys;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const std::string &budget : m_ledger.budgetsToRead(m_fleet, steadyNow())) {
+            keys.push_back(budgetKey(budget));
+        }
+    }
+    if (keys.empty()) {
+        co_return true;
+    }
+    const auto read = co_await m_platform.read(keys);
+    if (!read.ok()) {
+        co_return false;
+    }
+    tableAnswered();
+    for (const TableRow &row : *read) {
+        rows.emplace(row.key.substr(s_budgetPrefix.size()), readBudgetRow(row));
+    }
+    co_return true;
+}
+
+asio::awaitable<void> BudgetService::flushOnce()
+{
+    std::map<std::string, BudgetRow, std::less<>> rows;
+    const bool read = co_await readRows(rows);
+    if (!read) {
+        tableSilent();
+        co_return;
+    }
+    std::optional<FlushPlan> plan;
+    {
+        const std::lock_guard lock(m_mutex);
+        plan = m_ledger.planFlush(rows, m_fleet, steadyNow());
+        for (const auto &[budget, row] : rows) {
+            afterChange(m_ledger.account(budget));
+        }
+    }
+    if (!plan) {
+        co_return;
+    }
+    absl::StatusOr<TableVerdict> verdict = failed(FailureKind::ObjectUnreachable, "ledger page", Ran::No);
+    absl::Status stored = absl::OkStatus();
+    if (!plan->objectKey.empty()) {
+        stored = co_await m_platform.putObject(plan->objectKey, plan->object);
+    }
+    if (stored.ok()) {
+        verdict = co_await m_platform.transact(plan->transaction);
+    }
+    if (!verdict.ok()) {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_ledger.flushLost();
+        }
+        tableSilent();
+        co_return;
+    }
+    ++m_flushes;
+    tableAnswered();
+    std::vector<Charge> billed;
+    {
+        const std::lock_guard lock(m_mutex);
+        billed = m_ledger.flushAnswered(*verdict, steadyNow());
+        for (const FlushPart &part : plan->parts) {
+            afterChange(m_ledger.account(part.budget));
+        }
+    }
+    if (!billed.empty() && m_billed) {
+        m_billed(billed);
+    }
+}
+
+asio::awaitable<void> BudgetService::run()
+{
+    Instant lastFlush{};
+    while (!m_returning) {
+        bool urgent = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto &[name, ignored] : m_ledger.accounts()) {
+                BudgetAccount &account = m_ledger.account(name);
+                account.expire(steadyNow());
+                afterChange(account);
+            }
+            urgent = m_ledger.urgent() || !m_ledger.registered();
+        }
+        const Duration interval = urgent ? m_options.urgentInterval : m_options.flushInterval;
+        const Instant due = lastFlush + interval;
+        if (steadyNow() < due) {
+            m_flushTimer.expires_after(std::min<Duration>(due - steadyNow(), std::chrono::milliseconds(100)));
+            co_await m_flushTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        lastFlush = steadyNow();
+        co_await flushOnce();
+    }
+}
+
+asio::awaitable<void> BudgetService::finish(Duration limit)
+{
+    const Instant end = steadyNow() + limit;
+    m_returning = true;
+    asio::steady_timer timer(m_loop);
+    bool left = true;
+    while (left && steadyNow() < end) {
+        {
+            const std::lock_guard lock(m_mutex);
+            for (const auto &[name, ignored] : m_ledger.accounts()) {
+                m_ledger.account(name).recalled(true, steadyNow());
+            }
+        }
+        co_await flushOnce();
+        {
+            const std::lock_guard lock(m_mutex);
+            left = !m_ledger.fenced() && (!m_ledger.idle() || std::any_of(m_ledger.accounts().begin(), m_ledger.accounts().end(), [](const auto &entry) {
+                return entry.second.holding() > 0;
+            }));
+        }
+        timer.expires_after(s_finishPoll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+}
--- /dev/null
+++ b/src/budget/budgetservice.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/steady_timer.hpp>
+
+#include "budget/nodeledger.h"
+#include "platform/platformclient.h"
+
+namespace bamboohold
+{
+
+/// Drives a router's NodeLedger: reservations from any loop, and the flush loop on the platform's loop.
+///
+/// Lock: m_mutex guards the ledger and the waiting requests; it is never held across a wait, and nothing else is locked under it.
+class BudgetService
+{
+public:
+    struct Options {
+        NodeIdentity identity;
+        AccountPolicy policy;
+        Duration flushInterval = std::chrono::seconds(1);
+        /// Shortest time between two flushes when someone waits for one.
+        Duration urgentInterval = std::chrono::milliseconds(20);
+    };
+
+    /// Told which requests the table now bills, so that their sidecars can forget them.
+    using BilledHandler = std::function<void(const std::vector<Charge> &billed)>;
+    /// Asks all peers to return what they can spare of a budget.
+    using RecallHandler = std::function<void(const std::string &budget, Tokens need)>;
+
+    BudgetService(asio::any_io_executor platformLoop, PlatformClient &platform, Options options);
+
+    void setBilledHandler(BilledHandler handler);
+    void setRecallHandler(RecallHandler handler);
+
+    /// Reserves the worst case of a request, waiting while it may still be admitted. Refusals carry their failure; all mean not run.
+    asio::awaitable<absl::Status> reserve(std::string budget, std::string requestId, Tokens bound, Duration patience);
+
+    /// Lowers a reservation.
+    void tighten(std::string_view budget, std::string_view requestId, Tokens bound);
+
+    /// Ends a reservation with the tokens used, and bills them on the line given. Returns what was charged.
+    Tokens settle(Charge charge, Tokens used);
+
+    /// A peer asks for surplus. Returns how much goes back with the next flush.
+    Tokens recalled(std::string_view budget, std::string_view peer);
+
+    /// The number of routers has changed.
+    void setRouters(std::size_t routers);
+
+    /// The flush loop; runs until stop().
+    asio::awaitable<void> run();
+
+    /// Flushes until nothing is left, returning all holdings, or the time is up.
+    asio::awaitable<void> finish(Duration limit);
+
+    /// True once this incarnation was declared dead.
+    bool fenced() const;
+
+    /// One line of the operators' view.
+    struct Row {
+        std::string budget;
+        Tokens holding = 0;
+        Tokens reserved = 0;
+        Tokens unsettled = 0;
+        std::size_t waiting = 0;
+    };
+
+    /// What this router holds.
+    std::vector<Row> rows() const;
+
+    /// Flushes that the table applied, and tries that got no answer.
+    std::uint64_t flushes() const
+    {
+        return m_flushes;
+    }
+
+private:
+    struct Waiter;
+
+    asio::awaitable<void> flushOnce();
+    asio::awaitable<bool> readRows(std::map<std::string, BudgetRow, std::less<>> &rows);
+    void tableAnswered();
+    void tableSilent();
+    void deliver(std::vector<ReservationOutcome> outcomes);
+    void afterChange(BudgetAccount &account);
+    void wakeFlush();
+
+    asio::any_io_executor m_loop;
+    PlatformClient &m_platform;
+    Options m_options;
+    BilledHandler m_billed;
+    RecallHandler m_recall;
+    asio::steady_timer m_flushTimer;
+    mutable std::mutex m_mutex;
+    NodeLedger m_ledger;
+    FleetView m_fleet;
+    absl::flat_hash_map<std::string, std::shared_ptr<Waiter>> m_waiters;
+    std::uint64_t m_flushes = 0;
+    int m_silences = 0;
+    bool m_returning = false;
+};
+
+}
--- /dev/null
+++ b/src/budget/ledgerpage.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "budget/charge.h"
+
+namespace bamboohold
+{
+
+/// The charges of one flush, as an object in the object store. Pages of an incarnation form a chain from the newest, which the node's row names; a
+/// page that no chain reaches belongs to a flush that never took effect and bills nothing.
+struct LedgerPage {
+    std::string previous;
+    std::vector<Charge> charges;
+};
+
+/// JSON forms of a page; reading fails with InvalidDocument.
+std::string writeLedgerPage(const LedgerPage &page);
+absl::StatusOr<LedgerPage> readLedgerPage(std::string_view json);
+
+}
--- /dev/null
+++ b/src/budget/nodeledger.cpp
@@ -0,0 +1,206 @@
+#include "budget/nodeledger.h"
+
+#include "budget/budgetrows.h"
+#include "budget/ledgerpage.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+
+namespace bamboohold
+{
+
+NodeLedger::NodeLedger(Options options)
+    : m_options(std::move(options))
+{
+}
+
+BudgetAccount &NodeLedger::account(std::string_view budget)
+{
+    const auto found = m_accounts.find(budget);
+    if (found != m_accounts.end()) {
+        return found->second;
+    }
+    return m_accounts.emplace(std::string(budget), BudgetAccount(std::string(budget), m_options.policy)).first->second;
+}
+
+void NodeLedger::addCharge(Charge charge)
+{
+    m_charges.push_back(std::move(charge));
+}
+
+bool NodeLedger::urgent() const
+{
+    return std::any_of(m_accounts.begin(), m_accounts.end(), [](const auto &entry) {
+        return entry.second.urgent();
+    });
+}
+
+bool NodeLedger::idle() const
+{
+    const bool settled = std::all_of(m_accounts.begin(), m_accounts.end(), [](const auto &entry) {
+        return entry.second.unsettled() == 0 && entry.second.reserved() == 0;
+    });
+    return settled && m_charges.empty() && !m_current;
+}
+
+std::vector<std::string> NodeLedger::budgetsToRead(const FleetView &fleet, Instant now)
+{
+    std::vector<std::string> budgets;
+    if (m_current || m_fenced || !registered()) {
+        return budgets;
+    }
+    for (auto &[name, account] : m_accounts) {
+        if (budgets.size() < s_budgetsPerFlush && account.wantsDraw(fleet, now)) {
+            budgets.push_back(name);
+        }
+    }
+    return budgets;
+}
+
+TableOperation NodeLedger::nodeOperation(const std::string &flushId, const std::string &lastPage) const
+{
+    boost::json::object fields{{"state", "live"},
+                               {"flush", flushId},
+                               {"ledger", lastPage},
+                               {"host", m_options.identity.host},
+                               {"address", m_options.identity.linkAddress}};
+    return putRow(nodeKey(m_options.identity.incarnation), std::move(fields), m_nodeVersion);
+}
+
+void NodeLedger::addPart(FlushPlan &plan, const FlushPart &part)
+{
+    auto &operations = plan.transaction.operations;
+    const std::string key = budgetKey(part.budget);
+    const Tokens holdingChange = part.draw - part.giveBack - part.settled;
+    // The guard on free is what keeps a budget from being granted twice, whatever this router believed when it planned the draw.
+    operations.push_back(addToField(key, "free", part.giveBack - part.draw, 0));
+    operations.push_back(addToField(key, "granted", holdingChange, 0));
+    operations.push_back(addToField(key, "consumed", part.settled, 0));
+    const std::string grant = grantKey(m_options.identity.incarnation, part.budget);
+    if (m_hasGrantRow.contains(part.budget)) {
+        operations.push_back(addToField(grant, "unspent", holdingChange, 0));
+    } else {
+        operations.push_back(putRow(grant, {{"unspent", holdingChange}, {"budget", part.budget}, {"holder", m_options.identity.incarnation}}, 0));
+    }
+    plan.parts.push_back(part);
+}
+
+std::optional<FlushPlan> NodeLedger::planFlush(const std::map<std::string, BudgetRow, std::less<>> &rows, const FleetView &fleet, Instant now)
+{
+    if (m_inFlight || m_fenced) {
+        return std::nullopt;
+    }
+    if (m_current) {
+        m_inFlight = true;
+        return m_current;
+    }
+    FlushPlan plan{.flushId = absl::StrCat(m_nextFlush)};
+    plan.transaction.operations.emplace_back();
+    // Start after the budget the last flush ended with, so that a long list of budgets takes turns.
+    auto entry = m_accounts.upper_bound(m_roundRobin);
+    for (std::size_t visited = 0; visited < m_accounts.size() && plan.parts.size() < s_budgetsPerFlush && registered(); ++visited, ++entry) {
+        if (entry == m_accounts.end()) {
+            entry = m_accounts.begin();
+        }
+        const auto row = rows.find(entry->first);
+        const FlushPart part = entry->second.planFlush(row == rows.end() ? std::nullopt : std::optional(row->second), fleet, now);
+        m_roundRobin = entry->first;
+        if (!part.empty()) {
+            addPart(plan, part);
+        }
+    }
+    if (registered() && plan.parts.empty() && m_charges.empty()) {
+        return std::nullopt;
+    }
+    for (Charge &charge : m_charges) {
+        const bool covered = std::any_of(plan.parts.begin(), plan.parts.end(), [&charge](const FlushPart &part) {
+            return part.budget == charge.budget;
+        });
+        if (covered || charge.tokens == 0) {
+            plan.charges.push_back(charge);
+        }
+    }
+    if (!plan.charges.empty()) {
+        plan.objectKey = ledgerKey(m_options.identity.incarnation, plan.flushId);
+        plan.object = writeLedgerPage({.previous = m_lastPage, .charges = plan.charges});
+    }
+    plan.transaction.operations.front() = nodeOperation(plan.flushId, plan.objectKey.empty() ? m_lastPage : plan.objectKey);
+    ++m_nextFlush;
+    m_current = std::move(plan);
+    m_inFlight = true;
+    return m_current;
+}
+
+std::vector<Charge> NodeLedger::applied(const FlushPlan &plan, std::uint64_t nodeVersion, Instant now)
+{
+    m_nodeVersion = nodeVersion;
+    for (const FlushPart &part : plan.parts) {
+        m_hasGrantRow.emplace(part.budget, true);
+        account(part.budget).confirm(part, now);
+    }
+    absl::flat_hash_set<std::string> billedIds;
+    for (const Charge &charge : plan.charges) {
+        billedIds.insert(charge.requestId);
+    }
+    std::erase_if(m_charges, [&billedIds](const Charge &charge) {
+        return billedIds.contains(charge.requestId);
+    });
+    if (!plan.objectKey.empty()) {
+        m_lastPage = plan.objectKey;
+    }
+    std::vector<Charge> billed = plan.charges;
+    m_superseded.clear();
+    m_current.reset();
+    return billed;
+}
+
+void NodeLedger::withdraw(const TableVerdict &verdict, Instant now)
+{
+    for (const FlushPart &part : m_current->parts) {
+        account(part.budget).withdrawPlan();
+    }
+    for (const TableObstacle &obstacle : verdict.obstacles) {
+        if (obstacle.guard && obstacle.row.key.starts_with(s_budgetPrefix)) {
+            account(obstacle.row.key.substr(s_budgetPrefix.size())).drawRefused(readBudgetRow(obstacle.row), now);
+        }
+    }
+    m_superseded.push_back(*std::exchange(m_current, std::nullopt));
+}
+
+std::vector<Charge> NodeLedger::flushAnswered(const TableVerdict &verdict, Instant now)
+{
+    assert(m_current);
+    m_inFlight = false;
+    if (verdict.applied) {
+        return applied(FlushPlan(*m_current), verdict.versions.front(), now);
+    }
+    const auto nodeObstacle = std::find_if(verdict.obstacles.begin(), verdict.obstacles.end(), [](const TableObstacle &obstacle) {
+        return obstacle.operation == 0;
+    });
+    if (nodeObstacle == verdict.obstacles.end()) {
+        withdraw(verdict, now);
+        return {};
+    }
+    // The node's row has moved on. Either a flush whose answer was lost did take effect, or another router has declared this one dead.
+    const std::string flushId = textField(nodeObstacle->row.fields, "flush");
+    std::vector<FlushPlan> candidates = m_superseded;
+    candidates.push_back(*m_current);
+    for (const FlushPlan &candidate : candidates) {
+        if (candidate.flushId == flushId && textField(nodeObstacle->row.fields, "state") == "live") {
+            return applied(FlushPlan(candidate), nodeObstacle->row.version, now);
+        }
+    }
+    m_fenced = true;
+    return {};
+}
+
+void NodeLedger::flushLost()
+{
+    m_inFlight = false;
+}
+
+}
--- /dev/null
+++ b/src/caller/requestdriver.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <oneapi/tbb/concurrent_hash_map.h>
+
+#include "budget/budgetservice.h"
+#include "configuration/configuration.h"
+#include "link/linkhub.h"
+#include "net/httpserver.h"
+#include "operations/metrics.h"
+#include "request/answermailbox.h"
+#include "request/requestcourse.h"
+#include "routing/targettable.h"
+
+namespace bamboohold
+{
+
+/// A checked request on its way through the router.
+struct RoutedRequest {
+    std::string requestId;
+    std::string team;
+    std::string budget;
+    std::string model;
+    std::string service;
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+    bool streamed = false;
+    bool nonIdempotent = false;
+    Tokens bound = 0;
+    Tokens outputLimit = 0;
+    Instant deadline;
+
+    /// True for a call of a plain service, which costs no tokens.
+    bool plainService() const
+    {
+        return !service.empty();
+    }
+};
+
+/// Carries one request from reservation to settlement: asks TargetTable where to go, lets RequestCourse decide what each frame means, and writes to the
+/// caller.
+///
+/// Locks: the mailboxes are a concurrent map; m_routingMutex guards the target table. Neither is held while the other, or the budget's lock, is taken.
+class RequestDriver
+{
+public:
+    struct Options {
+        /// Time a request may wait for a target with room.
+        Duration queuePatience = std::chrono::seconds(10);
+        /// Silence of a target after which a request it has is lost.
+        Duration targetSilence = std::chrono::seconds(5);
+        unsigned maxAttempts = 8;
+    };
+
+    RequestDriver(BudgetService &budgets, TargetTable &targets, std::mutex &routingMutex, Metrics &metrics, Options options);
+
+    /// The link to send on; set before the first request.
+    void setLink(LinkHub *link);
+
+    /// Serves a request to its end, the answer or the typed failure included.
+    asio::awaitable<void> serve(HttpExchange &exchange, RoutedRequest request);
+
+    /// A frame arrived from a sidecar. Called on the link's thread.
+    void onFrame(wire::Frame &message);
+
+    /// Requests in flight.
+    std::size_t inFlight() const
+    {
+        return m_mailboxes.size();
+    }
+
+    /// Frames that were late, doubled or nobody's.
+    std::uint64_t strayFrames() const
+    {
+        return m_strayFrames;
+    }
+
+private:
+    struct Journey;
+    using Mailboxes = oneapi::tbb::concurrent_hash_map<std::string, std::shared_ptr<AnswerMailbox>>;
+
+    asio::awaitable<void> travel(Journey &journey);
+    asio::awaitable<bool> openAttempt(Journey &journey);
+    asio::awaitable<CourseStep> takeFrames(Journey &journey);
+    asio::awaitable<void> deliver(Journey &journey, const AnswerFrame &frame);
+    asio::awaitable<void> answer(Journey &journey);
+    asio::awaitable<void> answerFailure(Journey &journey, Failure failure);
+    asio::awaitable<void> giveUpIfDue(Journey &journey);
+    CourseStep onSilence(Journey &journey);
+    void closeAttempt(Journey &journey, CourseStep step, const AnswerFrame &frame);
+    void sendDispatch(const Journey &journey, const TargetChoice &choice, std::uint32_t attempt);
+    void sendCancel(const Journey &journey);
+    void giveCredit(Journey &journey, std::size_t bytes);
+    void settle(const Journey &journey);
+    void observe(const Journey &journey);
+
+    BudgetService &m_budgets;
+    TargetTable &m_targets;
+    std::mutex &m_routingMutex;
+    Metrics &m_metrics;
+    Options m_options;
+    LinkHub *m_link = nullptr;
+    Mailboxes m_mailboxes;
+    std::atomic<std::uint64_t> m_strayFrames = 0;
+};
+
+}
--- /dev/null
+++ b/src/daemon/router.cpp
@@ -0,0 +1,403 @@
+#include "daemon/router.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "budget/budgetrows.h"
+#include "clock/steadytime.h"
+#include "net/incarnation.h"
+#include "operations/log.h"
+
+namespace bamboohold
+{
+
+namespace
+{
+
+constexpr Duration s_heartbeatInterval = std::chrono::seconds(1);
+constexpr Duration s_peerPoll = std::chrono::seconds(2);
+constexpr Duration s_drainPoll = std::chrono::milliseconds(20);
+constexpr Duration s_returnLimit = std::chrono::seconds(5);
+
+asio::awaitable<void> pause(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+std::vector<TargetPlace> placesOf(const Inventory &inventory, std::string_view ownDomain)
+{
+    std::vector<TargetPlace> places;
+    for (const Target &target : inventory.targets) {
+        const Host *host = inventory.findHost(target.host);
+        const std::string domain = host == nullptr ? std::string() : host->failureDomain;
+        places.push_back({.name = target.name,
+                          .model = target.model,
+                          .service = target.service,
+                          .failureDomain = domain,
+                          .latencyUs = inventory.latencyUs(ownDomain, domain),
+                          .slots = target.slots});
+    }
+    return places;
+}
+
+AccountPolicy policyOf(const Settings &settings)
+{
+    AccountPolicy policy;
+    policy.horizon = settings.horizon;
+    return policy;
+}
+
+}
+
+Router::Router(WorkerPool &pool, const Settings &settings)
+    : m_pool(pool)
+    , m_settings(settings)
+    , m_identity({.incarnation = newIncarnation(settings.host), .host = settings.host, .linkAddress = absl::StrCat(settings.address, ":", settings.linkPort)})
+    , m_platform(pool.mainLoop().get_executor(), settings.platform, settings.platformTimeout)
+    , m_budgets(pool.mainLoop().get_executor(), m_platform, {.identity = m_identity, .policy = policyOf(settings), .flushInterval = settings.flushInterval})
+    , m_targets({})
+    , m_driver(m_budgets, m_targets, m_routingMutex, m_metrics, {})
+    , m_callers(
+          m_driver,
+          [this] {
+              return configuration();
+          },
+          {.limits = {.fallback = settings.defaultOutputTokens, .highest = settings.maxOutputTokens}, .defaultDeadline = settings.defaultDeadline})
+{
+    m_budgets.setBilledHandler([this](const std::vector<Charge> &billed) {
+        onBilled(billed);
+    });
+    m_budgets.setRecallHandler([this](const std::string &budget, Tokens need) {
+        askPeers(budget, need);
+    });
+}
+
+Router::~Router() = default;
+
+absl::Status Router::open()
+{
+    m_link = std::make_unique<LinkHub>(LinkHub::Options{.identity = m_identity.incarnation, .endpoint = absl::StrCat("tcp://", m_identity.linkAddress)},
+                                       [this](std::string_view peer, wire::Envelope &message) {
+                                           onMessage(peer, message);
+                                       });
+    m_driver.setLink(m_link.get());
+    m_callerServer = std::make_unique<HttpServer>(m_pool,
+                                                  HttpServer::Options{.address = m_settings.address, .port = m_settings.callerPort},
+                                                  [this](HttpExchange &exchange) {
+                                                      return answerCaller(exchange);
+                                                  });
+    m_operationsServer = std::make_unique<HttpServer>(m_pool,
+                                                      HttpServer::Options{.address = m_settings.address, .port = m_settings.operationsPort},
+                                                      [this](HttpExchange &exchange) {
+                                                          return answerOperations(exchange);
+                                                      });
+    for (const absl::Status &status : {m_link->open(), m_callerServer->open(), m_operationsServer->open()}) {
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    asio::io_context &loop = m_pool.mainLoop();
+    asio::co_spawn(loop, followConfiguration(), asio::detached);
+    asio::co_spawn(loop, followPeers(), asio::detached);
+    asio::co_spawn(loop, heartbeats(), asio::detached);
+    asio::co_spawn(loop, m_budgets.run(), asio::detached);
+    logLine(Severity::Info, "router is up", {{"incarnation", m_identity.incarnation}});
+    return absl::OkStatus();
+}
+
+ConfigurationPointer Router::configuration() const
+{
+    const std::lock_guard lock(m_configurationMutex);
+    return m_configuration;
+}
+
+void Router::onMessage(std::string_view peer, wire::Envelope &message)
+{
+    switch (message.body_case()) {
+    case wire::Envelope::kFrame:
+        m_driver.onFrame(*message.mutable_frame());
+        break;
+    case wire::Envelope::kReport:
+        onReport(peer, message.report());
+        break;
+    case wire::Envelope::kRecall:
+        onRecall(peer, message.recall());
+        break;
+    default:
+        break;
+    }
+}
+
+void Router::onReport(std::string_view peer, const wire::Report &report)
+{
+    const std::lock_guard lock(m_routingMutex);
+    m_targets.reported(peer,
+                       {.incarnation = report.incarnation(),
+                        .running = report.running(),
+                        .waiting = report.waiting(),
+                        .slots = report.slots(),
+                        .leaving = report.leaving(),
+                        .engineReachable = report.engine_reachable()},
+                       steadyNow());
+}
+
+void Router::onRecall(std::string_view peer, const wire::Recall &recall)
+{
+    wire::Envelope envelope;
+    envelope.mutable_recall_answer()->set_budget(recall.budget());
+    envelope.mutable_recall_answer()->set_recall_id(recall.recall_id());
+    envelope.mutable_recall_answer()->set_returned(m_budgets.recalled(recall.budget(), peer));
+    m_link->send(peer, envelope);
+}
+
+void Router::askPeers(const std::string &budget, Tokens need)
+{
+    wire::Envelope envelope;
+    envelope.mutable_recall()->set_budget(budget);
+    envelope.mutable_recall()->set_need(need);
+    const std::lock_guard lock(m_peersMutex);
+    for (const auto &[peer, address] : m_peers) {
+        m_link->send(peer, envelope);
+    }
+}
+
+void Router::onBilled(const std::vector<Charge> &billed)
+{
+    std::map<std::string, wire::Envelope> byTarget;
+    for (const Charge &charge : billed) {
+        if (!charge.target.empty()) {
+            byTarget[charge.target].mutable_settled()->add_request_ids(charge.requestId);
+        }
+    }
+    for (const auto &[target, envelope] : byTarget) {
+        m_link->send(target, envelope);
+    }
+}
+
+void Router::applyConfiguration(ConfigurationPointer configuration)
+{
+    const Inventory &inventory = configuration->inventory();
+    {
+        const std::lock_guard lock(m_routingMutex);
+        m_targets.setPlaces(placesOf(inventory, m_settings.failureDomain));
+    }
+    {
+        const std::lock_guard lock(m_peersMutex);
+        std::map<std::string, std::string> addresses;
+        for (const Target &target : inventory.targets) {
+            const Host *host = inventory.findHost(target.host);
+            addresses.emplace(target.name, absl::StrCat("tcp://", host->address, ":", target.linkPort));
+        }
+        for (const auto &[target, address] : m_targetAddresses) {
+            const auto kept = addresses.find(target);
+            if (kept == addresses.end() || kept->second != address) {
+                m_link->disconnect(target, address);
+            }
+        }
+        for (const auto &[target, address] : addresses) {
+            m_link->connect(target, address);
+        }
+        m_targetAddresses = std::move(addresses);
+    }
+    logLine(Severity::Info, "configuration in force", {{"version", static_cast<std::int64_t>(configuration->version())}});
+    const std::lock_guard lock(m_configurationMutex);
+    m_configuration = std::move(configuration);
+}
+
+asio::awaitable<void> Router::fetchConfiguration()
+{
+    const auto head = co_await m_platform.readOne(std::string(s_configurationHead));
+    if (!head.ok() || head->version == 0) {
+        co_return;
+    }
+    const auto version = static_cast<std::uint64_t>(integerField(head->fields, "version"));
+    const ConfigurationPointer current = configuration();
+    // Forward only: a slow read that comes back after a newer one must not undo it.
+    if (current != nullptr && version <= current->version()) {
+        co_return;
+    }
+    const auto document = co_await m_platform.readObject(textField(head->fields, "object"));
+    if (!document.ok()) {
+        co_return;
+    }
+    InventoryReading reading = readInventory(*document);
+    if (!reading.inventory) {
+        logLine(Severity::Error, "the accepted configuration cannot be read", {{"path", reading.errors.front().path}, {"detail", reading.errors.front().message}});
+        co_return;
+    }
+    applyConfiguration(std::make_shared<const Configuration>(version, *std::move(reading.inventory)));
+}
+
+asio::awaitable<void> Router::followConfiguration()
+{
+    while (true) {
+        co_await fetchConfiguration();
+        co_await pause(m_settings.configurationPoll);
+    }
+}
+
+asio::awaitable<void> Router::followPeers()
+{
+    while (true) {
+        const auto rows = co_await m_platform.scan(s_nodePrefix);
+        if (rows.ok()) {
+            std::size_t routers = 0;
+            const std::lock_guard lock(m_peersMutex);
+            std::map<std::string, std::string> peers;
+            for (const TableRow &row : *rows) {
+                const std::string incarnation = row.key.substr(s_nodePrefix.size());
+                if (textField(row.fields, "state") != "live") {
+                    continue;
+                }
+                ++routers;
+                if (incarnation != m_identity.incarnation) {
+                    peers.emplace(incarnation, absl::StrCat("tcp://", textField(row.fields, "address")));
+                }
+            }
+            for (const auto &[peer, address] : peers) {
+                // One connection between two routers, opened by the lesser name: two would fight over one identity.
+                if (!m_peers.contains(peer) && m_identity.incarnation < peer) {
+                    m_link->connect(peer, address);
+                }
+            }
+            m_peers = std::move(peers);
+            m_budgets.setRouters(routers);
+        }
+        co_await pause(s_peerPoll);
+    }
+}
+
+asio::awaitable<void> Router::heartbeats()
+{
+    while (true) {
+        wire::Envelope envelope;
+        envelope.mutable_heartbeat()->set_host(m_settings.host);
+        envelope.mutable_heartbeat()->set_leaving(m_draining);
+        {
+            const std::lock_guard lock(m_peersMutex);
+            for (const auto &[target, address] : m_targetAddresses) {
+                m_link->send(target, envelope);
+            }
+        }
+        co_await pause(s_heartbeatInterval);
+    }
+}
+
+void Router::drain()
+{
+    if (m_draining.exchange(true)) {
+        return;
+    }
+    m_callers.beginDrain();
+    logLine(Severity::Info, "draining");
+    asio::co_spawn(m_pool.mainLoop(), drainLoop(), asio::detached);
+}
+
+asio::awaitable<void> Router::drainLoop()
+{
+    const Instant limit = steadyNow() + m_settings.drainLimit;
+    while (m_driver.inFlight() > 0 && steadyNow() < limit) {
+        co_await pause(s_drainPoll);
+    }
+    m_callerServer->close();
+    co_await m_budgets.finish(s_returnLimit);
+    logLine(Severity::Info, "drained", {{"unfinished", static_cast<std::int64_t>(m_driver.inFlight())}});
+    co_await pause(s_drainPoll);
+    m_pool.stop();
+}
+
+bool Router::ready() const
+{
+    return configuration() != nullptr && !m_draining && !m_budgets.fenced();
+}
+
+std::string Router::statusJson()
+{
+    boost::json::object status{{"host", m_settings.host}, {"incarnation", m_identity.incarnation}, {"ready", ready()}};
+    const ConfigurationPointer current = configuration();
+    status["configuration_version"] = static_cast<std::int64_t>(current == nullptr ? 0 : current->version());
+    status["requests_in_flight"] = static_cast<std::int64_t>(m_driver.inFlight());
+    boost::json::array budgets;
+    for (const BudgetService::Row &row : m_budgets.rows()) {
+        budgets.emplace_back(boost::json::object{{"budget", row.budget},
+                                                 {"holding", row.holding},
+                                                 {"reserved", row.reserved},
+                                                 {"unsettled", row.unsettled},
+                                                 {"waiting", static_cast<std::int64_t>(row.waiting)}});
+    }
+    status["budgets"] = std::move(budgets);
+    boost::json::array targets;
+    const std::lock_guard lock(m_routingMutex);
+    for (const TargetTable::Row &row : m_targets.rows(steadyNow())) {
+        targets.emplace_back(boost::json::object{{"target", row.place.name},
+                                                 {"usable", row.usable},
+                                                 {"running", row.report.running},
+                                                 {"slots", row.report.slots},
+                                                 {"leaving", row.report.leaving}});
+    }
+    status["targets"] = std::move(targets);
+    return boost::json::serialize(status);
+}
+
+std::string Router::metricsText()
+{
+    for (const BudgetService::Row &row : m_budgets.rows()) {
+        m_metrics.gauge("bamboohold_budget_holding_tokens", {.name = "budget", .value = row.budget}, row.holding);
+        m_metrics.gauge("bamboohold_budget_reserved_tokens", {.name = "budget", .value = row.budget}, row.reserved);
+    }
+    const std::string &host = m_settings.host;
+    m_metrics.gauge("bamboohold_requests_in_flight", {.name = "host", .value = host}, static_cast<std::int64_t>(m_driver.inFlight()));
+    m_metrics.gauge("bamboohold_flushes", {.name = "host", .value = host}, static_cast<std::int64_t>(m_budgets.flushes()));
+    m_metrics.gauge("bamboohold_platform_calls", {.name = "host", .value = host}, static_cast<std::int64_t>(m_platform.calls()));
+    m_metrics.gauge("bamboohold_control_bytes", {.name = "host", .value = host}, static_cast<std::int64_t>(m_link->controlBytes()));
+    m_metrics.gauge("bamboohold_stray_frames", {.name = "host", .value = host}, static_cast<std::int64_t>(m_driver.strayFrames()));
+    return m_metrics.text();
+}
+
+asio::awaitable<bool> Router::answerHealth(HttpExchange &exchange)
+{
+    const std::string_view path = exchange.path();
+    if (path == "/healthz") {
+        co_await exchange.respond(200, "application/json", "{}");
+    } else if (path == "/readyz") {
+        const bool isReady = ready();
+        const unsigned status = isReady ? 200 : 503;
+        std::string body = absl::StrCat("{\"ready\":", isReady ? "true" : "false", "}");
+        co_await exchange.respond(status, "application/json", std::move(body));
+    } else if (path == "/metrics") {
+        co_await exchange.respond(200, "text/plain; version=0.0.4", metricsText());
+    } else {
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> Router::answerCaller(HttpExchange &exchange)
+{
+    const bool answered = co_await answerHealth(exchange);
+    if (answered) {
+        co_return;
+    }
+    co_await m_callers.handle(exchange);
+}
+
+asio::awaitable<void> Router::answerOperations(HttpExchange &exchange)
+{
+    const bool answered = co_await answerHealth(exchange);
+    if (answered) {
+        co_return;
+    }
+    if (exchange.path() == "/status") {
+        co_await exchange.respond(200, "application/json", statusJson());
+        co_return;
+    }
+    co_await exchange.respond(404, "application/json", errorBody({.kind = FailureKind::NotFound, .detail = std::string(exchange.path())}, ""));
+}
+
+}
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,237 @@
+#include "daemon/settings.h"
+
+#include <cstdlib>
+#include <string_view>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <gflags/gflags.h>
+
+#include "daemon/version.h"
+
+DEFINE_string(role, "", "router or sidecar");
+DEFINE_string(host, "", "name of this host in the inventory");
+DEFINE_string(failure_domain, "", "failure domain of this host");
+DEFINE_string(address, "", "IP address to listen on and to be reached at");
+DEFINE_int32(caller_port, 8080, "router: port for callers, 1 to 65535");
+DEFINE_int32(operations_port, 7401, "port for health, metrics and status, 1 to 65535");
+DEFINE_int32(link_port, 7400, "port for the fleet's own messages, 1 to 65535");
+DEFINE_string(platform, "", "IP:port of the platform's table and object store");
+DEFINE_string(target, "", "sidecar: name of the target it stands beside");
+DEFINE_string(engine, "", "sidecar: IP:port of its engine or plain service");
+DEFINE_int32(slots, 32, "sidecar: requests at a time, 1 to 100000");
+DEFINE_int32(workers, 2, "event loops, 1 to 64");
+DEFINE_int64(default_output_tokens, 256, "output limit of a request that names none, 1 to max_output_tokens");
+DEFINE_int64(max_output_tokens, 8192, "highest output limit a request may name, 1 to 1000000");
+DEFINE_int64(grant_horizon_ms, 900000, "how much of its own demand a router holds ahead, in ms, 100 to 86400000");
+DEFINE_int64(flush_interval_ms, 1000, "time between two flushes to the table, in ms, 10 to 60000");
+DEFINE_int64(platform_timeout_ms, 2000, "time the platform has for an answer, in ms, 10 to 60000");
+DEFINE_int64(configuration_poll_ms, 1000, "time between two looks at the configuration, in ms, 10 to 60000");
+DEFINE_int64(drain_limit_ms, 30000, "time that streams have to finish at shutdown, in ms, 0 to 3600000");
+DEFINE_int64(default_deadline_ms, 120000, "deadline of a request that names none, in ms, 100 to 3600000");
+DEFINE_int64(reclaim_after_ms, 15000, "silence after which a router is taken for dead, in ms, 1000 to 3600000");
+
+namespace bamboohold
+{
+
+namespace
+{
+
+constexpr std::int64_t s_maxPort = 65535;
+constexpr std::string_view s_environmentPrefix = "BAMBOOHOLD_";
+
+/// Collects mistakes while settings are read.
+class Checker
+{
+public:
+    explicit Checker(std::vector<Failure> &mistakes)
+        : m_mistakes(mistakes)
+    {
+    }
+
+    void mistake(std::string_view flag, std::string_view value, std::string_view accepted)
+    {
+        m_mistakes.push_back({.kind = FailureKind::InvalidSetting,
+                              .detail = std::string("--").append(flag).append("='").append(value).append("': accepted is ").append(accepted)});
+    }
+
+    std::int64_t within(std::string_view flag, std::int64_t value, std::int64_t lowest, std::int64_t highest)
+    {
+        if (value < lowest || value > highest) {
+            mistake(flag, absl::StrCat(value), absl::StrCat("a whole number from ", lowest, " to ", highest));
+        }
+        return value;
+    }
+
+    std::uint16_t port(std::string_view flag, std::int64_t value)
+    {
+        return static_cast<std::uint16_t>(within(flag, value, 1, s_maxPort));
+    }
+
+    std::string required(std::string_view flag, const std::string &value)
+    {
+        if (value.empty()) {
+            mistake(flag, value, "a non-empty name");
+        }
+        return value;
+    }
+
+    boost::asio::ip::tcp::endpoint endpoint(std::string_view flag, const std::string &value)
+    {
+        const std::pair<std::string, std::string> parts = absl::StrSplit(value, absl::MaxSplits(':', 1));
+        boost::system::error_code error;
+        const auto address = boost::asio::ip::make_address(parts.first, error);
+        std::int64_t number = 0;
+        if (error || !absl::SimpleAtoi(parts.second, &number) || number < 1 || number > s_maxPort) {
+            mistake(flag, value, "an IP address and port, such as 127.0.0.1:9000");
+            return {};
+        }
+        return {address, static_cast<std::uint16_t>(number)};
+    }
+
+private:
+    std::vector<Failure> &m_mistakes;
+};
+
+Duration milliseconds(std::int64_t value)
+{
+    return std::chrono::milliseconds(value);
+}
+
+std::vector<gflags::CommandLineFlagInfo> ownFlags()
+{
+    std::vector<gflags::CommandLineFlagInfo> all;
+    gflags::GetAllFlags(&all);
+    std::erase_if(all, [](const gflags::CommandLineFlagInfo &flag) {
+        return flag.filename.find("settings.cpp") == std::string::npos;
+    });
+    return all;
+}
+
+std::string helpText()
+{
+    std::string text = "bambooholdd: bamboohold's daemon\n\nUsage: bambooholdd --role=router|sidecar [--FLAG=VALUE ...]\n"
+                       "Each flag can also be set as an environment variable BAMBOOHOLD_FLAG; the command line goes first.\n\n";
+    for (const gflags::CommandLineFlagInfo &flag : ownFlags()) {
+        absl::StrAppend(&text, "  --", flag.name, "  ", flag.description, flag.default_value.empty() ? "" : " (default " + flag.default_value + ")", "\n");
+    }
+    return text;
+}
+
+void setFlag(const std::string &name, const std::string &value, std::string_view source, SettingsReading &reading)
+{
+    gflags::CommandLineFlagInfo info;
+    const bool known = gflags::GetCommandLineFlagInfo(name.c_str(), &info) && info.filename.find("settings.cpp") != std::string::npos;
+    if (!known) {
+        reading.mistakes.push_back({.kind = FailureKind::InvalidSetting,
+                                    .detail = std::string(source).append(" '").append(name).append("': not a known flag; see --help")});
+        return;
+    }
+    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+        Checker(reading.mistakes).mistake(name, value, std::string("a value of type ").append(info.type));
+    }
+}
+
+void readCommandLine(int argc, char **argv, SettingsReading &reading, absl::flat_hash_set<std::string> &given)
+{
+    for (int index = 1; index < argc; ++index) {
+        std::string argument = argv[index];
+        if (argument == "--help" || argument == "-h") {
+            reading.information = helpText();
+            return;
+        }
+        if (argument == "--version") {
+            reading.information = std::string("bambooholdd ").append(s_version).append("\n");
+            return;
+        }
+        if (!argument.starts_with("--")) {
+            reading.mistakes.push_back({.kind = FailureKind::InvalidSetting, .detail = absl::StrCat("'", argument, "': arguments have the form --flag=value")});
+            continue;
+        }
+        const std::pair<std::string, std::string> parts = absl::StrSplit(argument.substr(2), absl::MaxSplits('=', 1));
+        std::string value = parts.second;
+        if (argument.find('=') == std::string::npos && index + 1 < argc) {
+            value = argv[++index];
+        }
+        setFlag(parts.first, value, "flag", reading);
+        given.insert(parts.first);
+    }
+}
+
+void readEnvironment(SettingsReading &reading, const absl::flat_hash_set<std::string> &given)
+{
+    for (const gflags::CommandLineFlagInfo &flag : ownFlags()) {
+        const std::string variable = std::string(s_environmentPrefix).append(absl::AsciiStrToUpper(flag.name));
+        const char *value = std::getenv(variable.c_str());
+        if (value != nullptr && !given.contains(flag.name)) {
+            setFlag(flag.name, value, "environment variable", reading);
+        }
+    }
+}
+
+Settings checkedSettings(Checker &checker)
+{
+    Settings settings;
+    if (FLAGS_role != "router" && FLAGS_role != "sidecar") {
+        checker.mistake("role", FLAGS_role, "'router' or 'sidecar'");
+    }
+    settings.role = FLAGS_role == "sidecar" ? Role::Sidecar : Role::Router;
+    settings.host = checker.required("host", FLAGS_host);
+    settings.failureDomain = checker.required("failure_domain", FLAGS_failure_domain);
+    boost::system::error_code error;
+    boost::asio::ip::make_address(FLAGS_address, error);
+    if (error) {
+        checker.mistake("address", FLAGS_address, "an IP address");
+    }
+    settings.address = FLAGS_address;
+    settings.callerPort = checker.port("caller_port", FLAGS_caller_port);
+    settings.operationsPort = checker.port("operations_port", FLAGS_operations_port);
+    settings.linkPort = checker.port("link_port", FLAGS_link_port);
+    const bool samePort = settings.linkPort == settings.operationsPort || (settings.role == Role::Router && settings.callerPort == settings.operationsPort);
+    if (samePort) {
+        checker.mistake("operations_port", absl::StrCat(FLAGS_operations_port), "a port that no other flag names");
+    }
+    settings.platform = checker.endpoint("platform", FLAGS_platform);
+    if (settings.role == Role::Sidecar) {
+        settings.target = checker.required("target", FLAGS_target);
+        settings.engine = checker.endpoint("engine", FLAGS_engine);
+    } else if (!FLAGS_target.empty() || !FLAGS_engine.empty()) {
+        checker.mistake("target", FLAGS_target, "only with --role=sidecar, like --engine");
+    }
+    settings.slots = static_cast<std::uint32_t>(checker.within("slots", FLAGS_slots, 1, 100'000));
+    settings.workers = static_cast<int>(checker.within("workers", FLAGS_workers, 1, 64));
+    settings.maxOutputTokens = checker.within("max_output_tokens", FLAGS_max_output_tokens, 1, 1'000'000);
+    settings.defaultOutputTokens = checker.within("default_output_tokens", FLAGS_default_output_tokens, 1, FLAGS_max_output_tokens);
+    settings.horizon = milliseconds(checker.within("grant_horizon_ms", FLAGS_grant_horizon_ms, 100, 86'400'000));
+    settings.flushInterval = milliseconds(checker.within("flush_interval_ms", FLAGS_flush_interval_ms, 10, 60'000));
+    settings.platformTimeout = milliseconds(checker.within("platform_timeout_ms", FLAGS_platform_timeout_ms, 10, 60'000));
+    settings.configurationPoll = milliseconds(checker.within("configuration_poll_ms", FLAGS_configuration_poll_ms, 10, 60'000));
+    settings.drainLimit = milliseconds(checker.within("drain_limit_ms", FLAGS_drain_limit_ms, 0, 3'600'000));
+    settings.defaultDeadline = milliseconds(checker.within("default_deadline_ms", FLAGS_default_deadline_ms, 100, 3'600'000));
+    settings.reclaimAfter = milliseconds(checker.within("reclaim_after_ms", FLAGS_reclaim_after_ms, 1'000, 3'600'000));
+    return settings;
+}
+
+}
+
+SettingsReading readSettings(int argc, char **argv)
+{
+    SettingsReading reading;
+    absl::flat_hash_set<std::string> given;
+    readCommandLine(argc, argv, reading, given);
+    if (!reading.information.empty()) {
+        return reading;
+    }
+    readEnvironment(reading, given);
+    Checker checker(reading.mistakes);
+    Settings settings = checkedSettings(checker);
+    if (reading.mistakes.empty()) {
+        reading.settings = std::move(settings);
+    }
+    return reading;
+}
+
+}
--- /dev/null
+++ b/src/engine/sidecar.cpp
@@ -0,0 +1,440 @@
+#include "engine/sidecar.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+
+#include "clock/steadytime.h"
+#include "link/framecodec.h"
+#include "net/incarnation.h"
+#include "operations/log.h"
+#include "platform/table.h"
+
+namespace bamboohold
+{
+
+namespace
+{
+
+constexpr Duration s_reportInterval = std::chrono::milliseconds(200);
+constexpr Duration s_enginePoll = std::chrono::milliseconds(500);
+constexpr Duration s_engineTimeout = std::chrono::seconds(60);
+constexpr Duration s_engineProbeTimeout = std::chrono::seconds(2);
+constexpr Duration s_routerForgottenAfter = std::chrono::seconds(30);
+/// A router that gives no credit for this long no longer reads; its run is cancelled.
+constexpr Duration s_creditPatience = std::chrono::seconds(30);
+constexpr Duration s_drainPoll = std::chrono::milliseconds(20);
+constexpr std::uint64_t s_windowBytes = 256 * 1024;
+
+asio::awaitable<void> pause(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+}
+
+/// One attempt while the engine has it. Shared by its coroutine and by the table through which cancellations and credit find it.
+struct Sidecar::LiveRun : std::enable_shared_from_this<LiveRun> {
+    LiveRun(asio::any_io_executor loop, std::string_view routerName, wire::Dispatch message)
+        : executor(std::move(loop))
+        , router(routerName)
+        , dispatch(std::move(message))
+        , creditTimer(executor)
+    {
+    }
+
+    asio::any_io_executor executor;
+    std::string router;
+    wire::Dispatch dispatch;
+    asio::steady_timer creditTimer;
+    std::size_t loopIndex = 0;
+    HttpStreamCall *call = nullptr;
+    std::uint64_t sequence = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t creditBytes = s_windowBytes;
+    bool cancelled = false;
+};
+
+Sidecar::Sidecar(WorkerPool &pool, const Settings &settings)
+    : m_pool(pool)
+    , m_settings(settings)
+    , m_incarnation(newIncarnation(settings.target))
+    , m_table({.incarnation = m_incarnation, .limit = settings.slots + settings.slots / 4})
+{
+    for (std::size_t index = 0; index < pool.size(); ++index) {
+        m_engines.push_back(std::make_unique<HttpClient>(pool.loop(index).get_executor(), settings.engine));
+    }
+}
+
+Sidecar::~Sidecar() = default;
+
+absl::Status Sidecar::open()
+{
+    m_link = std::make_unique<LinkHub>(LinkHub::Options{.identity = m_incarnation, .endpoint = absl::StrCat("tcp://", m_settings.address, ":", m_settings.linkPort)},
+                                       [this](std::string_view peer, wire::Envelope &message) {
+                                           onMessage(peer, message);
+                                       });
+    m_operations = std::make_unique<HttpServer>(m_pool,
+                                                HttpServer::Options{.address = m_settings.address, .port = m_settings.operationsPort},
+                                                [this](HttpExchange &exchange) {
+                                                    return answerOperations(exchange);
+                                                });
+    if (const absl::Status status = m_operations->open(); !status.ok()) {
+        return status;
+    }
+    if (const absl::Status status = m_link->open(); !status.ok()) {
+        return status;
+    }
+    asio::co_spawn(m_pool.mainLoop(), report(), asio::detached);
+    asio::co_spawn(m_pool.mainLoop(), pollEngine(), asio::detached);
+    logLine(Severity::Info, "sidecar is up", {{"incarnation", m_incarnation}, {"target", m_settings.target}});
+    return absl::OkStatus();
+}
+
+void Sidecar::drain()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_table.beginDrain();
+    }
+    logLine(Severity::Info, "draining", {{"target", m_settings.target}});
+    asio::co_spawn(m_pool.mainLoop(), drainLoop(), asio::detached);
+}
+
+asio::awaitable<void> Sidecar::drainLoop()
+{
+    const Instant limit = steadyNow() + m_settings.drainLimit;
+    bool busy = true;
+    while (busy && steadyNow() < limit) {
+        co_await pause(s_drainPoll);
+        const std::lock_guard lock(m_mutex);
+        busy = !m_live.empty();
+    }
+    // The last frames are in the link's queue: give it time to send them before the process ends.
+    co_await pause(s_reportInterval);
+    logLine(Severity::Info, "drained", {{"unfinished", static_cast<std::int64_t>(m_live.size())}});
+    m_pool.stop();
+}
+
+void Sidecar::onMessage(std::string_view peer, wire::Envelope &message)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_routers[std::string(peer)] = steadyNow();
+        m_table.heard(peer, steadyNow());
+    }
+    switch (message.body_case()) {
+    case wire::Envelope::kDispatch:
+        onDispatch(peer, *message.mutable_dispatch());
+        break;
+    case wire::Envelope::kCancel:
+    case wire::Envelope::kCredit: {
+        const bool cancel = message.body_case() == wire::Envelope::kCancel;
+        const std::string &requestId = cancel ? message.cancel().request_id() : message.credit().request_id();
+        const std::uint64_t bytes = cancel ? 0 : message.credit().bytes();
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_live.find(requestId);
+        if (found != m_live.end()) {
+            asio::post(found->second->executor, [this, run = found->second, cancel, bytes] {
+                run->creditBytes += bytes;
+                run->creditTimer.cancel();
+                if (cancel) {
+                    this->cancel(run);
+                }
+            });
+        }
+        break;
+    }
+    case wire::Envelope::kSettled: {
+        const std::lock_guard lock(m_mutex);
+        for (const std::string &requestId : message.settled().request_ids()) {
+            m_table.forget(requestId);
+        }
+        break;
+    }
+    case wire::Envelope::kSeal:
+        onSeal(peer, message.seal());
+        break;
+    default:
+        break;
+    }
+}
+
+void Sidecar::refuse(std::string_view peer, const wire::Dispatch &dispatch, RunRefusal reason)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_frame() = toWire(dispatch.request_id(), {.attempt = dispatch.attempt(), .content = AnswerFrame::Refused{.reason = reason}});
+    m_link->send(peer, envelope);
+}
+
+void Sidecar::onDispatch(std::string_view peer, wire::Dispatch &dispatch)
+{
+    const RunTable::Attempt attempt{.requestId = dispatch.request_id(),
+                                    .attempt = dispatch.attempt(),
+                                    .router = std::string(peer),
+                                    .targetIncarnation = dispatch.target_incarnation(),
+                                    .team = dispatch.team(),
+                                    .budget = dispatch.budget(),
+                                    .bound = dispatch.bound(),
+                                    .expiresIn = std::chrono::milliseconds(dispatch.expires_in_ms())};
+    std::shared_ptr<LiveRun> run;
+    std::optional<RunRefusal> refusal;
+    {
+        const std::lock_guard lock(m_mutex);
+        refusal = m_table.admit(attempt, steadyNow());
+        if (!refusal) {
+            const std::size_t index = m_live.size() % m_pool.size();
+            run = std::make_shared<LiveRun>(m_pool.loop(index).get_executor(), peer, std::move(dispatch));
+            run->loopIndex = index;
+            m_live.emplace(run->dispatch.request_id(), run);
+        }
+    }
+    if (refusal) {
+        refuse(peer, dispatch, *refusal);
+        return;
+    }
+    asio::co_spawn(run->executor, execute(run), asio::detached);
+}
+
+void Sidecar::onSeal(std::string_view peer, const wire::Seal &seal)
+{
+    wire::Envelope envelope;
+    wire::SealAnswer &answer = *envelope.mutable_seal_answer();
+    answer.set_incarnation(seal.incarnation());
+    answer.set_epoch(seal.epoch());
+    answer.set_target(m_settings.target);
+    {
+        const std::lock_guard lock(m_mutex);
+        const SealVerdict verdict = m_table.seal(seal.incarnation(), seal.epoch(), steadyNow());
+        answer.set_refused(verdict.refused);
+        for (const RunRecord &record : verdict.runs) {
+            wire::SealedRun &run = *answer.add_runs();
+            run.set_request_id(record.requestId);
+            run.set_budget(record.budget);
+            run.set_team(record.team);
+            run.set_charged(record.charged);
+            run.set_running(record.running);
+            run.set_end(toWire(record.end));
+            // Nobody reads its answer any more, and its tokens come back sooner when it stops.
+            if (const auto live = m_live.find(record.requestId); record.running && live != m_live.end()) {
+                asio::post(live->second->executor, [this, orphan = live->second] {
+                    cancel(orphan);
+                });
+            }
+        }
+    }
+    m_link->send(peer, envelope);
+}
+
+void Sidecar::sendFrame(const LiveRun &run, AnswerFrame frame)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_frame() = toWire(run.dispatch.request_id(), frame);
+    m_link->send(run.router, envelope);
+}
+
+HttpCallOptions Sidecar::callOptions(const LiveRun &run) const
+{
+    const wire::Dispatch &dispatch = run.dispatch;
+    return {.method = dispatch.method(),
+            .path = dispatch.path(),
+            .contentType = dispatch.content_type(),
+            .body = dispatch.body(),
+            .headers = {{"X-Request-Id", dispatch.request_id()}, {"X-Attempt", absl::StrCat(dispatch.attempt())}},
+            .timeout = s_engineTimeout};
+}
+
+asio::awaitable<void> Sidecar::execute(std::shared_ptr<LiveRun> run)
+{
+    HttpStreamCall call(*m_engines[run->loopIndex], callOptions(*run));
+    run->call = &call;
+    AnswerFrame::End end;
+    absl::Status started = failed(FailureKind::Cancelled, "cancelled before it was sent", Ran::No);
+    if (!run->cancelled) {
+        started = co_await call.start();
+    }
+    if (started.ok()) {
+        end = co_await relay(*run, call);
+    } else {
+        const Ran ran = toFailure(started).ran;
+        end.end = ran == Ran::No ? RunEnd::NotRun : RunEnd::Unknown;
+        end.end = run->cancelled && ran != Ran::No ? RunEnd::Cancelled : end.end;
+    }
+    run->call = nullptr;
+    const std::string requestId = run->dispatch.request_id();
+    {
+        const std::lock_guard lock(m_mutex);
+        end.charged = m_table.finish(requestId, end.end, end.usage);
+        m_live.erase(requestId);
+    }
+    sendFrame(*run, {.attempt = run->dispatch.attempt(), .sequence = run->sequence++, .content = end});
+    m_metrics.count("bamboohold_runs_total", {.name = "end", .value = std::to_string(static_cast<int>(end.end))});
+}
+
+void Sidecar::cancel(const std::shared_ptr<LiveRun> &run)
+{
+    if (run->cancelled) {
+        return;
+    }
+    run->cancelled = true;
+    run->creditTimer.cancel();
+    asio::co_spawn(run->executor, cancelAtEngine(run), asio::detached);
+}
+
+asio::awaitable<void> Sidecar::cancelAtEngine(std::shared_ptr<LiveRun> run)
+{
+    HttpClient &engine = *m_engines[run->loopIndex];
+    HttpCallOptions options{.method = "POST", .path = absl::StrCat("/v1/cancel?request=", run->dispatch.request_id()), .timeout = s_engineProbeTimeout};
+    const auto reply = co_await engine.call(std::move(options));
+    // An engine that cannot cancel by name stops when its connection goes; what it ran until then it does not tell.
+    const bool stopped = reply.ok() && reply->status == 200;
+    if (!stopped && run->call != nullptr) {
+        run->call->cancel();
+    }
+}
+
+asio::awaitable<void> Sidecar::waitForCredit(LiveRun &run)
+{
+    while (run.sentBytes >= run.creditBytes && !run.cancelled) {
+        run.creditTimer.expires_after(s_creditPatience);
+        const auto [error] = co_await run.creditTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!error) {
+            cancel(run.shared_from_this());
+        }
+    }
+}
+
+asio::awaitable<AnswerFrame::End> Sidecar::relay(LiveRun &run, HttpStreamCall &call)
+{
+    UsageScanner scanner;
+    AnswerFrame::End end{.end = RunEnd::Complete};
+    const std::uint32_t attempt = run.dispatch.attempt();
+    const std::string type = call.contentType();
+    const bool eventStream = type.starts_with("text/event-stream");
+    bool promptKnown = false;
+    sendFrame(run, {.attempt = attempt, .sequence = run.sequence++, .content = AnswerFrame::Head{.status = call.status(), .contentType = type}});
+    while (true) {
+        auto piece = co_await call.readSome();
+        if (!piece.ok()) {
+            end.end = RunEnd::FailedAfterRunning;
+            break;
+        }
+        if (piece->empty()) {
+            break;
+        }
+        scanner.feed(*piece);
+        if (run.cancelled) {
+            continue;
+        }
+        if (scanner.usage() && !promptKnown) {
+            promptKnown = true;
+            sendFrame(run, {.attempt = attempt, .sequence = run.sequence++, .content = AnswerFrame::PromptCounted{.tokens = scanner.usage()->prompt}});
+        }
+        run.sentBytes += piece->size();
+        sendFrame(run, {.attempt = attempt, .sequence = run.sequence++, .content = AnswerFrame::Data{.bytes = *std::move(piece)}});
+        co_await waitForCredit(run);
+    }
+    // An engine that dies can close its connection in good order; only the stream's own end mark shows that the answer is whole.
+    if (end.end == RunEnd::Complete && eventStream && !scanner.sawEndOfStream()) {
+        end.end = RunEnd::FailedAfterRunning;
+    }
+    // The last count before a cut is older than what the engine ran: only the count of an answer that ended in good order is the truth, and without it
+    // the whole reservation is charged.
+    if (end.end == RunEnd::Complete) {
+        end.usage = scanner.usage();
+    }
+    if (run.dispatch.plain_service() || (call.status() >= 400 && call.status() < 500)) {
+        end.usage = TokenUsage{};
+    }
+    if (run.cancelled) {
+        end.end = RunEnd::Cancelled;
+    }
+    end.dataBytes = run.sentBytes;
+    co_return end;
+}
+
+wire::Report Sidecar::makeReport()
+{
+    wire::Report report;
+    report.set_target(m_settings.target);
+    report.set_incarnation(m_incarnation);
+    report.set_leaving(m_table.leaving());
+    report.set_running(m_table.running());
+    report.set_waiting(m_engineWaiting);
+    report.set_slots(m_settings.slots);
+    report.set_engine_reachable(m_engineReachable);
+    return report;
+}
+
+asio::awaitable<void> Sidecar::report()
+{
+    while (true) {
+        wire::Envelope envelope;
+        std::vector<std::string> routers;
+        {
+            const std::lock_guard lock(m_mutex);
+            *envelope.mutable_report() = makeReport();
+            const Instant now = steadyNow();
+            absl::erase_if(m_routers, [now](const auto &entry) {
+                return now - entry.second > s_routerForgottenAfter;
+            });
+            for (const auto &[router, heardAt] : m_routers) {
+                routers.push_back(router);
+            }
+        }
+        for (const std::string &router : routers) {
+            m_link->send(router, envelope);
+        }
+        co_await pause(s_reportInterval);
+    }
+}
+
+asio::awaitable<void> Sidecar::pollEngine()
+{
+    HttpClient client(m_pool.mainLoop().get_executor(), m_settings.engine);
+    while (true) {
+        HttpCallOptions options{.path = "/load", .timeout = s_engineProbeTimeout};
+        const auto reply = co_await client.call(std::move(options));
+        {
+            const std::lock_guard lock(m_mutex);
+            m_engineReachable = reply.ok();
+            boost::json::error_code error;
+            const boost::json::value load = reply.ok() ? boost::json::parse(reply->body, error) : boost::json::value();
+            m_engineWaiting = load.is_object() ? static_cast<std::uint32_t>(integerField(load.get_object(), "waiting")) : 0;
+        }
+        co_await pause(s_enginePoll);
+    }
+}
+
+asio::awaitable<void> Sidecar::answerOperations(HttpExchange &exchange)
+{
+    const std::string_view path = exchange.path();
+    bool ready = false;
+    std::string status;
+    {
+        const std::lock_guard lock(m_mutex);
+        ready = m_engineReachable && !m_table.leaving();
+        status = absl::StrCat("{\"target\":\"", m_settings.target, "\",\"incarnation\":\"", m_incarnation, "\",\"running\":", m_table.running());
+        absl::StrAppend(&status, ",\"records\":", m_table.records(), ",\"leaving\":", m_table.leaving() ? "true" : "false", "}");
+    }
+    if (path == "/healthz") {
+        co_await exchange.respond(200, "application/json", "{}");
+    } else if (path == "/readyz") {
+        co_await exchange.respond(ready ? 200 : 503, "application/json", status);
+    } else if (path == "/metrics") {
+        co_await exchange.respond(200, "text/plain; version=0.0.4", m_metrics.text());
+    } else if (path == "/status") {
+        co_await exchange.respond(200, "application/json", status);
+    } else {
+        co_await exchange.respond(404, "application/json", errorBody({.kind = FailureKind::NotFound, .detail = std::string(path)}, ""));
+    }
+}
+
+}
--- /dev/null
+++ b/src/engine/sidecar.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include "daemon/settings.h"
+#include "engine/runtable.h"
+#include "link/linkhub.h"
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "net/workerpool.h"
+#include "operations/metrics.h"
+#include "request/requestcourse.h"
+
+namespace bamboohold
+{
+
+/// The process beside one target: the only one that talks to its engine. It drives RunTable, carries answers to routers frame by frame within the credit
+/// they give, and reports the target's load.
+///
+/// Locks: m_mutex guards the run table, the live runs and the routers; it is held for table work only, never across a wait, and nothing else is locked
+/// under it but Metrics.
+class Sidecar
+{
+public:
+    Sidecar(WorkerPool &pool, const Settings &settings);
+    ~Sidecar();
+
+    /// Opens the ports and starts reporting.
+    absl::Status open();
+
+    /// Takes no new work from now on; done when the last run ended or the limit passed, then the pool stops.
+    void drain();
+
+private:
+    struct LiveRun;
+
+    void onMessage(std::string_view peer, wire::Envelope &message);
+    void onDispatch(std::string_view peer, wire::Dispatch &dispatch);
+    void onSeal(std::string_view peer, const wire::Seal &seal);
+    void sendFrame(const LiveRun &run, AnswerFrame frame);
+    void refuse(std::string_view peer, const wire::Dispatch &dispatch, RunRefusal reason);
+
+    asio::awaitable<void> execute(std::shared_ptr<LiveRun> run);
+    asio::awaitable<AnswerFrame::End> relay(LiveRun &run, HttpStreamCall &call);
+    asio::awaitable<void> waitForCredit(LiveRun &run);
+    void cancel(const std::shared_ptr<LiveRun> &run);
+    asio::awaitable<void> cancelAtEngine(std::shared_ptr<LiveRun> run);
+    HttpCallOptions callOptions(const LiveRun &run) const;
+    asio::awaitable<void> report();
+    asio::awaitable<void> pollEngine();
+    asio::awaitable<void> drainLoop();
+    asio::awaitable<void> answerOperations(HttpExchange &exchange);
+    wire::Report makeReport();
+
+    WorkerPool &m_pool;
+    Settings m_settings;
+    std::string m_incarnation;
+    Metrics m_metrics;
+    std::mutex m_mutex;
+    RunTable m_table;
+    absl::flat_hash_map<std::string, std::shared_ptr<LiveRun>> m_live;
+    absl::flat_hash_map<std::string, Instant> m_routers;
+    std::vector<std::unique_ptr<HttpClient>> m_engines;
+    bool m_engineReachable = false;
+    std::uint32_t m_engineWaiting = 0;
+    std::unique_ptr<LinkHub> m_link;
+    std::unique_ptr<HttpServer> m_operations;
+};
+
+}
--- /dev/null
+++ b/src/inventory/documentreader.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include "inventory/inventory.h"
+
+namespace bamboohold
+{
+
+/// Reads typed fields out of a JSON object and collects every mistake with its path, so that an operator mends a file in one go.
+class DocumentReader
+{
+public:
+    DocumentReader(const boost::json::object &object, std::string path, std::vector<DocumentError> &errors);
+
+    /// A non-empty string; an absent or empty one is an error unless optional.
+    std::string text(std::string_view field, bool optional = false);
+
+    /// A whole number within [lowest, highest]; absent gives the fallback.
+    std::int64_t number(std::string_view field, std::int64_t lowest, std::int64_t highest, std::int64_t fallback);
+
+    /// A whole number that has to be there.
+    std::int64_t requiredNumber(std::string_view field, std::int64_t lowest, std::int64_t highest);
+
+    /// A positive real number; absent gives the fallback.
+    double positive(std::string_view field, double fallback);
+
+    /// A list of strings; absent gives an empty one.
+    std::vector<std::string> texts(std::string_view field);
+
+    /// The objects of a list, each with a reader of its own.
+    std::vector<DocumentReader> objects(std::string_view field);
+
+    /// Reports fields outside the given names: most often a misspelt one, which would otherwise be ignored in silence.
+    void allowOnly(std::initializer_list<std::string_view> names);
+
+    /// Adds an error at a field of this object.
+    void fail(std::string_view field, std::string_view message);
+
+    /// Path of this object in the file.
+    const std::string &path() const
+    {
+        return m_path;
+    }
+
+private:
+    const boost::json::value *find(std::string_view field) const;
+
+    const boost::json::object *m_object;
+    std::string m_path;
+    std::vector<DocumentError> *m_errors;
+};
+
+}
--- /dev/null
+++ b/src/inventory/inventory.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/json/object.hpp>
+
+#include "clock/instant.h"
+
+namespace bamboohold
+{
+
+/// A part of the site that fails as one: a building, a hall, a power feed.
+struct FailureDomain {
+    std::string name;
+};
+
+/// The path between two failure domains. Latency is one way, in microseconds.
+struct Link {
+    std::string from;
+    std::string to;
+    std::int64_t latencyUs = 0;
+};
+
+/// What a host is there for.
+enum class HostRole {
+    Entry,
+    Target,
+};
+
+/// A machine of the asset register. It keeps nothing over a restart.
+struct Host {
+    std::string name;
+    std::string failureDomain;
+    std::string address;
+    HostRole role = HostRole::Target;
+};
+
+/// A model in a given version, served by engines.
+struct Model {
+    std::string name;
+    std::string version;
+};
+
+/// A model engine or an instance of a plain service on one host, with a sidecar beside it.
+struct Target {
+    std::string name;
+    std::string host;
+    /// Name of the model, empty for a plain service.
+    std::string model;
+    /// Name of the plain service, empty for a model engine.
+    std::string service;
+    /// Requests it runs at a time.
+    std::uint32_t slots = 1;
+    std::uint16_t enginePort = 9000;
+    std::uint16_t linkPort = 7400;
+    std::uint16_t operationsPort = 7401;
+
+    /// True for a plain service.
+    bool isService() const
+    {
+        return !service.empty();
+    }
+};
+
+/// Tokens paid for in advance. Several teams may draw on one budget.
+struct Budget {
+    std::string name;
+    Tokens prepaid = 0;
+};
+
+/// A customer's unit with a key of its own. Only a salted hash of the key is kept.
+struct Team {
+    std::string name;
+    std::string budget;
+    /// Share of a busy fleet relative to other teams.
+    double weight = 1.0;
+    std::string keySalt;
+    std::string keySha256;
+};
+
+/// Which models and services a team may use; "*" stands for every team, model or service.
+struct AccessRule {
+    std::string team;
+    std::vector<std::string> models;
+    std::vector<std::string> services;
+};
+
+/// Calls of a plain service that must not run twice. The path is a prefix.
+struct NonIdempotentRule {
+    std::string service;
+    std::string method;
+    std::string path;
+};
+
+/// One mistake in a document, with its place in the file.
+struct DocumentError {
+    std::string path;
+    std::string message;
+};
+
+/// Everything operators decide: the register and the rules. Immutable once accepted; Configuration numbers its versions.
+struct Inventory {
+    std::string name;
+    std::int64_t clientLatencyUs = 0;
+    std::int64_t defaultLinkLatencyUs = 0;
+    std::vector<FailureDomain> failureDomains;
+    std::vector<Link> links;
+    std::vector<Host> hosts;
+    std::vector<Model> models;
+    std::vector<Target> targets;
+    std::vector<Budget> budgets;
+    std::vector<Team> teams;
+    std::vector<AccessRule> access;
+    std::vector<NonIdempotentRule> nonIdempotent;
+
+    /// The host of that name, or null.
+    const Host *findHost(std::string_view hostName) const;
+
+    /// The team of that name, or null.
+    const Team *findTeam(std::string_view teamName) const;
+
+    /// One-way latency between two failure domains in microseconds; 0 within one.
+    std::int64_t latencyUs(std::string_view from, std::string_view to) const;
+
+    /// True when a rule lets the team use the model.
+    bool mayUseModel(std::string_view team, std::string_view model) const;
+
+    /// True when a rule lets the team use the plain service.
+    bool mayUseService(std::string_view team, std::string_view service) const;
+
+    /// True when a rule marks the call as one that must not run twice.
+    bool isNonIdempotent(std::string_view service, std::string_view method, std::string_view path) const;
+};
+
+/// Result of reading a document: an inventory, or every mistake found in it.
+struct InventoryReading {
+    std::optional<Inventory> inventory;
+    std::vector<DocumentError> errors;
+};
+
+/// Reads and validates the whole document: types, ranges, duplicate names, references, addresses. All errors are listed, not just the first.
+InventoryReading readInventory(std::string_view json);
+
+/// Writes the document that readInventory accepts, with the same content.
+std::string writeInventory(const Inventory &inventory);
+
+}
--- /dev/null
+++ b/src/link/framecodec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "engine/runtable.h"
+#include "link/link.pb.h"
+#include "request/requestcourse.h"
+
+namespace bamboohold
+{
+
+/// Turns an answer's frame into its message.
+wire::Frame toWire(std::string_view requestId, const AnswerFrame &frame);
+
+/// Turns a message back into a frame. A message without content becomes an end of unknown outcome.
+AnswerFrame fromWire(wire::Frame &message);
+
+/// Wire form of a run's end.
+wire::RunEnd toWire(RunEnd end);
+
+}
--- /dev/null
+++ b/src/link/linkhub.cpp
@@ -0,0 +1,187 @@
+#include "link/linkhub.h"
+
+#include <array>
+#include <cerrno>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <absl/strings/str_cat.h>
+
+#include "failure/failure.h"
+
+namespace bamboohold
+{
+
+namespace
+{
+
+constexpr int s_heartbeatMs = 1000;
+constexpr int s_heartbeatTimeoutMs = 4000;
+constexpr int s_reconnectMs = 50;
+constexpr int s_reconnectMaxMs = 1000;
+/// Messages taken in one go before queued orders get their turn.
+constexpr int s_receiveBatch = 256;
+
+bool isControl(const wire::Envelope &message)
+{
+    switch (message.body_case()) {
+    case wire::Envelope::kDispatch:
+    case wire::Envelope::kFrame:
+    case wire::Envelope::kCredit:
+    case wire::Envelope::kCancel:
+        return false;
+    default:
+        return true;
+    }
+}
+
+}
+
+LinkHub::LinkHub(Options options, Handler handler)
+    : m_options(std::move(options))
+    , m_handler(std::move(handler))
+    , m_context(1)
+    , m_socket(m_context, zmq::socket_type::router)
+{
+}
+
+LinkHub::~LinkHub()
+{
+    m_stopping = true;
+    wake();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+    if (m_wakeDescriptor >= 0) {
+        ::close(m_wakeDescriptor);
+    }
+}
+
+absl::Status LinkHub::open()
+{
+    m_wakeDescriptor = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    m_socket.set(zmq::sockopt::routing_id, m_options.identity);
+    m_socket.set(zmq::sockopt::linger, 0);
+    m_socket.set(zmq::sockopt::sndhwm, m_options.queueLength);
+    m_socket.set(zmq::sockopt::rcvhwm, m_options.queueLength);
+    // Without it a message to a peer that is gone vanishes unseen; with it the send fails and is counted.
+    m_socket.set(zmq::sockopt::router_mandatory, true);
+    m_socket.set(zmq::sockopt::router_handover, true);
+    m_socket.set(zmq::sockopt::heartbeat_ivl, s_heartbeatMs);
+    m_socket.set(zmq::sockopt::heartbeat_timeout, s_heartbeatTimeoutMs);
+    m_socket.set(zmq::sockopt::reconnect_ivl, s_reconnectMs);
+    m_socket.set(zmq::sockopt::reconnect_ivl_max, s_reconnectMaxMs);
+    try {
+        m_socket.bind(m_options.endpoint);
+    } catch (const zmq::error_t &error) {
+        return failed(FailureKind::InvalidSetting, absl::StrCat("cannot listen on ", m_options.endpoint, ": ", error.what()));
+    }
+    m_thread = std::thread([this] {
+        run();
+    });
+    return absl::OkStatus();
+}
+
+void LinkHub::wake()
+{
+    if (m_wakeDescriptor >= 0 && !m_awake.exchange(true)) {
+        const std::uint64_t one = 1;
+        (void)!::write(m_wakeDescriptor, &one, sizeof(one));
+    }
+}
+
+void LinkHub::connect(std::string peer, std::string endpoint)
+{
+    m_orders.push({.kind = Order::Kind::Connect, .peer = std::move(peer), .content = std::move(endpoint)});
+    wake();
+}
+
+void LinkHub::disconnect(std::string peer, std::string endpoint)
+{
+    m_orders.push({.kind = Order::Kind::Disconnect, .peer = std::move(peer), .content = std::move(endpoint)});
+    wake();
+}
+
+void LinkHub::send(std::string_view peer, const wire::Envelope &message)
+{
+    Order order{.peer = std::string(peer)};
+    message.SerializeToString(&order.content);
+    if (isControl(message)) {
+        m_controlBytes.fetch_add(order.content.size(), std::memory_order_relaxed);
+    }
+    m_orders.push(std::move(order));
+    wake();
+}
+
+void LinkHub::carryOut(Order &order)
+{
+    if (order.kind == Order::Kind::Send) {
+        try {
+            m_socket.send(zmq::buffer(order.peer), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+            m_socket.send(zmq::buffer(order.content), zmq::send_flags::dontwait);
+        } catch (const zmq::error_t &) {
+            m_dropped.fetch_add(1, std::memory_order_relaxed);
+        }
+        return;
+    }
+    const bool connected = m_connected.contains(order.peer);
+    try {
+        if (order.kind == Order::Kind::Connect && !connected) {
+            m_socket.set(zmq::sockopt::connect_routing_id, order.peer);
+            m_socket.connect(order.content);
+            m_connected.insert(order.peer);
+        } else if (order.kind == Order::Kind::Disconnect && connected) {
+            m_connected.erase(order.peer);
+            m_socket.disconnect(order.content);
+        }
+    } catch (const zmq::error_t &) {
+        m_dropped.fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
+void LinkHub::receive()
+{
+    wire::Envelope message;
+    for (int taken = 0; taken < s_receiveBatch; ++taken) {
+        zmq::message_t peer;
+        zmq::message_t content;
+        if (!m_socket.recv(peer, zmq::recv_flags::dontwait)) {
+            return;
+        }
+        if (!peer.more() || !m_socket.recv(content, zmq::recv_flags::dontwait)) {
+            continue;
+        }
+        if (message.ParseFromArray(content.data(), static_cast<int>(content.size()))) {
+            if (isControl(message)) {
+                m_controlBytes.fetch_add(content.size(), std::memory_order_relaxed);
+            }
+            m_handler(peer.to_string_view(), message);
+        }
+    }
+}
+
+void LinkHub::run()
+{
+    std::array<zmq::pollitem_t, 2> items{
+        zmq::pollitem_t{m_socket.handle(), 0, ZMQ_POLLIN, 0},
+        zmq::pollitem_t{nullptr, m_wakeDescriptor, ZMQ_POLLIN, 0},
+    };
+    while (!m_stopping) {
+        zmq::poll(items, std::chrono::milliseconds(500));
+        if ((items[1].revents & ZMQ_POLLIN) != 0) {
+            std::uint64_t ignored = 0;
+            (void)!::read(m_wakeDescriptor, &ignored, sizeof(ignored));
+        }
+        // Cleared before the queue is emptied: an order pushed after this line wakes the thread again.
+        m_awake = false;
+        Order order;
+        while (m_orders.try_pop(order)) {
+            carryOut(order);
+        }
+        receive();
+    }
+    m_socket.close();
+}
+
+}
--- /dev/null
+++ b/src/net/httpclient.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/statusor.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "clock/instant.h"
+#include "net/httpserver.h"
+
+namespace bamboohold
+{
+
+/// A request to an engine, a plain service or the platform.
+struct HttpCallOptions {
+    std::string method = "GET";
+    std::string path = "/";
+    std::string contentType = "application/json";
+    std::string body;
+    std::vector<HttpHeader> headers;
+    /// Bound on each wait for the peer, not on the whole answer.
+    Duration timeout = std::chrono::seconds(10);
+};
+
+/// A whole answer.
+struct HttpReply {
+    unsigned status = 0;
+    std::string contentType;
+    std::string body;
+};
+
+/// Keeps connections to one address open between calls. Bound to one event loop.
+class HttpClient
+{
+public:
+    HttpClient(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint);
+
+    /// Sends a request and takes the whole answer. Failures: TargetLost with Ran::No when nothing was sent, with Ran::Unknown afterwards.
+    asio::awaitable<absl::StatusOr<HttpReply>> call(HttpCallOptions options);
+
+    /// The address it calls.
+    const asio::ip::tcp::endpoint &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+private:
+    friend class HttpStreamCall;
+
+    struct Connection {
+        explicit Connection(const asio::any_io_executor &executor)
+            : stream(executor)
+        {
+        }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        bool reused = false;
+    };
+
+    asio::awaitable<absl::StatusOr<std::unique_ptr<Connection>>> connect(Duration timeout);
+    void giveBack(std::unique_ptr<Connection> connection);
+
+    asio::any_io_executor m_executor;
+    asio::ip::tcp::endpoint m_endpoint;
+    std::vector<std::unique_ptr<Connection>> m_idle;
+};
+
+/// One call whose answer is taken piece by piece.
+class HttpStreamCall
+{
+public:
+    HttpStreamCall(HttpClient &client, HttpCallOptions options);
+
+    /// Sends the request and waits for the head of the answer. Failures as for HttpClient::call.
+    asio::awaitable<absl::Status> start();
+
+    /// Status of the answer's head.
+    unsigned status() const;
+
+    /// Content type of the answer's head.
+    std::string contentType() const;
+
+    /// The next piece of the body, empty at its end. Fails with AnswerIncomplete when the peer cuts the answer.
+    asio::awaitable<absl::StatusOr<std::string>> readSome();
+
+    /// Closes the connection, which tells the peer to stop. A pending start or read ends with a failure.
+    void cancel();
+
+private:
+    using Parser = http::response_parser<http::buffer_body>;
+
+    HttpClient &m_client;
+    HttpCallOptions m_options;
+    std::unique_ptr<HttpClient::Connection> m_connection;
+    std::unique_ptr<Parser> m_parser;
+    std::vector<char> m_piece;
+    bool m_cancelled = false;
+};
+
+}
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,308 @@
+#include "net/httpserver.h"
+
+#include <array>
+#include <charconv>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace bamboohold
+{
+
+namespace
+{
+
+constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr int s_backlog = 4096;
+
+using ReuseAddress = asio::ip::tcp::acceptor::reuse_address;
+/// Lets each loop accept for itself; the kernel spreads connections over them.
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+void appendHeader(std::string &head, std::string_view name, std::string_view value)
+{
+    head.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::array<asio::const_buffer, 3> gathered(std::string_view first, std::string_view second, std::string_view third)
+{
+    return {asio::buffer(first), asio::buffer(second), asio::buffer(third)};
+}
+
+std::string answerHead(unsigned status, std::string_view contentType, const std::vector<HttpHeader> &headers)
+{
+    std::string head = absl::StrCat("HTTP/1.1 ", status, " ");
+    head.append(http::obsolete_reason(http::int_to_status(status))).append("\r\n");
+    appendHeader(head, "Content-Type", contentType);
+    for (const HttpHeader &header : headers) {
+        appendHeader(head, header.name, header.value);
+    }
+    return head;
+}
+
+}
+
+/// Watches the socket for the caller's end of stream while an answer is made. Shared with the pending wait, which can outlive the exchange.
+struct HttpExchange::HangUpWatch {
+    std::function<void()> callback;
+};
+
+HttpExchange::HttpExchange(asio::ip::tcp::socket &socket, HttpRequest request)
+    : m_socket(socket)
+    , m_request(std::move(request))
+{
+}
+
+HttpExchange::~HttpExchange()
+{
+    if (m_watch) {
+        m_watch->callback = nullptr;
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    }
+}
+
+std::string_view HttpExchange::path() const
+{
+    const std::string_view target(m_request.target().data(), m_request.target().size());
+    return target.substr(0, target.find('?'));
+}
+
+std::string_view HttpExchange::header(std::string_view name) const
+{
+    const auto found = m_request.find({name.data(), name.size()});
+    if (found == m_request.end()) {
+        return {};
+    }
+    return {found->value().data(), found->value().size()};
+}
+
+asio::any_io_executor HttpExchange::executor()
+{
+    return m_socket.get_executor();
+}
+
+asio::awaitable<bool> HttpExchange::send(std::string_view first, std::string_view second, std::string_view third)
+{
+    m_answered = true;
+    if (m_muted) {
+        co_return true;
+    }
+    const std::array<asio::const_buffer, 3> buffers = gathered(first, second, third);
+    const auto [error, written] = co_await asio::async_write(m_socket, buffers, s_tuple);
+    if (error) {
+        m_open = false;
+    }
+    co_return !error;
+}
+
+asio::awaitable<void> HttpExchange::respond(unsigned status, std::string_view contentType, std::string body, std::vector<HttpHeader> headers)
+{
+    std::string head = answerHead(status, contentType, headers);
+    appendHeader(head, "Content-Length", absl::StrCat(body.size()));
+    head.append("\r\n");
+    co_await send(head, body);
+}
+
+asio::awaitable<bool> HttpExchange::beginStream(unsigned status, std::string_view contentType, std::vector<HttpHeader> headers)
+{
+    std::string head = answerHead(status, contentType, headers);
+    appendHeader(head, "Transfer-Encoding", "chunked");
+    head.append("\r\n");
+    co_return co_await send(head);
+}
+
+asio::awaitable<bool> HttpExchange::writeChunk(std::string_view data)
+{
+    std::array<char, 20> size{};
+    const auto end = std::to_chars(size.data(), size.data() + 16, data.size(), 16).ptr;
+    end[0] = '\r';
+    end[1] = '\n';
+    const auto sizeLength = static_cast<std::size_t>(end - size.data()) + 2;
+    co_return co_await send(std::string_view(size.data(), sizeLength), data, "\r\n");
+}
+
+asio::awaitable<bool> HttpExchange::endStream()
+{
+    co_return co_await send("0\r\n\r\n");
+}
+
+void HttpExchange::cut()
+{
+    m_open = false;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void HttpExchange::onHangUp(std::function<void()> callback)
+{
+    m_watch = std::make_shared<HangUpWatch>();
+    m_watch->callback = std::move(callback);
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [watch = m_watch, this](const boost::system::error_code &error) {
+        if (!watch->callback) {
+            return;
+        }
+        char byte = 0;
+        boost::system::error_code peekError;
+        const std::size_t size = error ? 0 : m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peekError);
+        if (size == 0) {
+            m_open = false;
+            std::exchange(watch->callback, nullptr)();
+        }
+    });
+}
+
+HttpServer::HttpServer(WorkerPool &pool, Options options, HttpHandler handler)
+    : m_pool(pool)
+    , m_options(std::move(options))
+    , m_handler(std::move(handler))
+{
+}
+
+absl::Status HttpServer::open()
+{
+    boost::system::error_code error;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_options.address, error), m_options.port);
+    if (error) {
+        return failed(FailureKind::InvalidSetting, absl::StrCat("'", m_options.address, "' is not an IP address"));
+    }
+    for (std::size_t index = 0; index < m_pool.size(); ++index) {
+        auto acceptor = std::make_unique<asio::ip::tcp::acceptor>(m_pool.loop(index));
+        acceptor->open(endpoint.protocol(), error);
+        acceptor->set_option(ReuseAddress(true), error);
+        acceptor->set_option(ReusePort(true), error);
+        acceptor->bind(endpoint, error);
+        if (!error) {
+            acceptor->listen(s_backlog, error);
+        }
+        if (error) {
+            return failed(FailureKind::InvalidSetting, absl::StrCat("cannot listen on ", m_options.address, ":", m_options.port, ": ", error.message()));
+        }
+        m_acceptors.push_back(std::move(acceptor));
+    }
+    for (const auto &acceptor : m_acceptors) {
+        asio::co_spawn(acceptor->get_executor(), accept(*acceptor), asio::detached);
+    }
+    return absl::OkStatus();
+}
+
+void HttpServer::close()
+{
+    for (const auto &acceptor : m_acceptors) {
+        asio::post(acceptor->get_executor(), [&acceptor = *acceptor] {
+            boost::system::error_code ignored;
+            acceptor.close(ignored);
+        });
+    }
+}
+
+asio::awaitable<void> HttpServer::accept(asio::ip::tcp::acceptor &acceptor)
+{
+    while (acceptor.is_open()) {
+        auto [error, socket] = co_await acceptor.async_accept(s_tuple);
+        if (!error) {
+            socket.set_option(asio::ip::tcp::no_delay(true), error);
+            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> HttpServer::serve(asio::ip::tcp::socket socket)
+{
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(m_options.maxBodyBytes);
+        const auto [error, size] = co_await http::async_read(socket, buffer, parser, s_tuple);
+        if (error == http::error::end_of_stream || (error && error.category() != http::make_error_code(http::error::bad_method).category())) {
+            break;
+        }
+        HttpExchange exchange(socket, parser.release());
+        if (error) {
+            const Failure failure{.kind = FailureKind::InvalidRequest, .detail = error.message()};
+            co_await exchange.respond(error == http::error::body_limit ? 413 : 400, "application/json", errorBody(failure, ""));
+            break;
+        }
+        co_await m_handler(exchange);
+        open = exchange.keepAlive();
+    }
+    boost::system::error_code ignored;
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+std::string errorBody(const Failure &failure, std::string_view requestId)
+{
+    const auto text = [](std::string_view view) {
+        return boost::json::string(view.data(), view.size());
+    };
+    boost::json::object error{{"type", text(failureName(failure.kind))}, {"message", failure.detail}, {"ran", text(ranName(failure.ran))}};
+    if (!requestId.empty()) {
+        error["request_id"] = text(requestId);
+    }
+    if (failure.retryAfterMs) {
+        error["retry_after_ms"] = *failure.retryAfterMs;
+    }
+    return boost::json::serialize(boost::json::object{{"error", std::move(error)}});
+}
+
+void appendRetryAfter(std::vector<HttpHeader> &headers, const Failure &failure)
+{
+    if (failure.retryAfterMs) {
+        headers.push_back({.name = "Retry-After", .value = absl::StrCat((*failure.retryAfterMs + 999) / 1000)});
+    }
+}
+
+unsigned httpStatus(FailureKind kind)
+{
+    switch (kind) {
+    case FailureKind::InvalidSetting:
+    case FailureKind::InvalidDocument:
+    case FailureKind::InvalidRequest:
+        return 400;
+    case FailureKind::Unauthenticated:
+        return 401;
+    case FailureKind::Forbidden:
+    case FailureKind::BudgetClosed:
+        return 403;
+    case FailureKind::UnknownModel:
+    case FailureKind::UnknownService:
+    case FailureKind::NotFound:
+        return 404;
+    case FailureKind::AlreadyRunning:
+    case FailureKind::TableConflict:
+    case FailureKind::TableGuard:
+    case FailureKind::Fenced:
+        return 409;
+    case FailureKind::BudgetExhausted:
+        return 429;
+    case FailureKind::Cancelled:
+        return 499;
+    case FailureKind::TargetLost:
+    case FailureKind::AnswerIncomplete:
+    case FailureKind::EngineFailed:
+        return 502;
+    case FailureKind::DeadlineExceeded:
+        return 504;
+    case FailureKind::BudgetUnreachable:
+    case FailureKind::NoTarget:
+    case FailureKind::Overloaded:
+    case FailureKind::Draining:
+    case FailureKind::ClaimUnavailable:
+    case FailureKind::TableUnreachable:
+    case FailureKind::ObjectUnreachable:
+        break;
+    }
+    return 503;
+}
+
+}
--- /dev/null
+++ b/src/net/incarnation.cpp
@@ -0,0 +1,34 @@
+#include "net/incarnation.h"
+
+#include <array>
+#include <cstdint>
+
+#include <absl/strings/escaping.h>
+#include <openssl/rand.h>
+
+namespace bamboohold
+{
+
+namespace
+{
+
+std::string randomHex(std::size_t bytes)
+{
+    std::string raw(bytes, '\0');
+    RAND_bytes(reinterpret_cast<unsigned char *>(raw.data()), static_cast<int>(bytes));
+    return absl::BytesToHexString(raw);
+}
+
+}
+
+std::string newIncarnation(std::string_view place)
+{
+    return std::string(place).append("~").append(randomHex(8));
+}
+
+std::string newRequestId()
+{
+    return randomHex(16);
+}
+
+}
--- /dev/null
+++ b/src/operations/metrics.cpp
@@ -0,0 +1,85 @@
+#include "operations/metrics.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+
+namespace bamboohold
+{
+
+namespace
+{
+
+using Values = std::map<std::string, std::map<std::string, std::int64_t>, std::less<>>;
+
+void appendValues(std::string &text, const Values &values, std::string_view type)
+{
+    for (const auto &[series, byLabel] : values) {
+        absl::StrAppend(&text, "# TYPE ", series, " ", std::string(type), "\n");
+        for (const auto &[label, value] : byLabel) {
+            absl::StrAppend(&text, series, "{", label, "} ", value, "\n");
+        }
+    }
+}
+
+std::int64_t &slot(Values &values, std::string_view series, std::string label)
+{
+    auto found = values.find(series);
+    if (found == values.end()) {
+        found = values.try_emplace(std::string(series)).first;
+    }
+    return found->second[std::move(label)];
+}
+
+}
+
+std::string Metrics::labelText(MetricLabel label)
+{
+    const std::string value = absl::StrReplaceAll(std::string(label.value), {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
+    return absl::StrCat(std::string(label.name), "=\"", value, "\"");
+}
+
+void Metrics::count(std::string_view series, MetricLabel label, std::int64_t amount)
+{
+    const std::lock_guard lock(m_mutex);
+    slot(m_counters, series, labelText(label)) += amount;
+}
+
+void Metrics::gauge(std::string_view series, MetricLabel label, std::int64_t value)
+{
+    const std::lock_guard lock(m_mutex);
+    slot(m_gauges, series, labelText(label)) = value;
+}
+
+void Metrics::observe(std::string_view series, MetricLabel label, double seconds)
+{
+    const std::lock_guard lock(m_mutex);
+    auto found = m_histograms.find(series);
+    if (found == m_histograms.end()) {
+        found = m_histograms.try_emplace(std::string(series)).first;
+    }
+    found->second[labelText(label)](seconds);
+}
+
+std::string Metrics::text() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::string text;
+    appendValues(text, m_counters, "counter");
+    appendValues(text, m_gauges, "gauge");
+    for (const auto &[series, byLabel] : m_histograms) {
+        absl::StrAppend(&text, "# TYPE ", series, " histogram\n");
+        for (const auto &[label, histogram] : byLabel) {
+            const auto counts = s_bucketCounts(histogram);
+            const std::size_t total = boost::accumulators::count(histogram);
+            for (std::size_t index = 0; index < counts.size(); ++index) {
+                absl::StrAppend(&text, series, "_bucket{", label, ",le=\"", s_bucketBounds[index], "\"} ", counts[index], "\n");
+            }
+            absl::StrAppend(&text, series, "_bucket{", label, ",le=\"+Inf\"} ", total, "\n");
+            absl::StrAppend(&text, series, "_sum{", label, "} ", boost::accumulators::sum(histogram), "\n");
+            absl::StrAppend(&text, series, "_count{", label, "} ", total, "\n");
+        }
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/operations/metrics.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include "operations/bucketcounts.h"
+
+namespace bamboohold
+{
+
+/// The label that a series is kept under: a team or a request class.
+struct MetricLabel {
+    std::string_view name;
+    std::string_view value;
+};
+
+/// Counters, gauges and histograms of the process, shown in Prometheus' text format. One lock, last in every lock order: nothing else is taken under it.
+class Metrics
+{
+public:
+    /// Adds to a counter.
+    void count(std::string_view series, MetricLabel label, std::int64_t amount = 1);
+
+    /// Sets a gauge.
+    void gauge(std::string_view series, MetricLabel label, std::int64_t value);
+
+    /// Adds a duration in seconds to a histogram.
+    void observe(std::string_view series, MetricLabel label, double seconds);
+
+    /// All series in Prometheus' text format.
+    std::string text() const;
+
+private:
+    using Histogram = boost::accumulators::accumulator_set<double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, tag::BucketCounts>>;
+
+    static std::string labelText(MetricLabel label);
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::map<std::string, std::int64_t>, std::less<>> m_counters;
+    std::map<std::string, std::map<std::string, std::int64_t>, std::less<>> m_gauges;
+    std::map<std::string, std::map<std::string, Histogram>, std::less<>> m_histograms;
+};
+
+}
--- /dev/null
+++ b/src/request/requestcourse.cpp
@@ -0,0 +1,123 @@
+#include "request/requestcourse.h"
+
+#include <utility>
+
+namespace bamboohold
+{
+
+namespace
+{
+
+constexpr std::int64_t s_retryOverloadedMs = 500;
+constexpr std::int64_t s_retryLostMs = 1'000;
+
+Failure declinedEverywhere(RunRefusal lastReason)
+{
+    const FailureKind kind = lastReason == RunRefusal::Full ? FailureKind::Overloaded : FailureKind::NoTarget;
+    return {.kind = kind, .detail = "every target that was asked declined the request", .ran = Ran::No, .retryAfterMs = s_retryOverloadedMs};
+}
+
+}
+
+RequestCourse::RequestCourse(Options options)
+    : m_options(std::move(options))
+{
+}
+
+std::uint32_t RequestCourse::beginAttempt(std::string_view target)
+{
+    m_target = target;
+    m_nextSequence = 0;
+    m_dataBytes = 0;
+    m_open = true;
+    return ++m_attempt;
+}
+
+CourseStep RequestCourse::finish(Outcome outcome, Failure failure)
+{
+    m_finished = true;
+    m_open = false;
+    m_outcome = outcome;
+    m_failure = std::move(failure);
+    if (outcome == Outcome::NotRun) {
+        m_charged = 0;
+    }
+    return CourseStep::Finish;
+}
+
+CourseStep RequestCourse::onFrame(const AnswerFrame &frame)
+{
+    // Frames of an abandoned attempt can arrive after a newer one began; told apart by the attempt number they never mix into its answer.
+    if (m_finished || !m_open || frame.attempt != m_attempt || frame.sequence < m_nextSequence) {
+        return CourseStep::Ignore;
+    }
+    // A gap means that a frame was lost on the way: what follows would be passed off as the whole answer.
+    if (frame.sequence > m_nextSequence) {
+        return onLost(FailureKind::AnswerIncomplete);
+    }
+    ++m_nextSequence;
+    if (const auto *refused = std::get_if<AnswerFrame::Refused>(&frame.content)) {
+        return onRefused(refused->reason);
+    }
+    if (const auto *end = std::get_if<AnswerFrame::End>(&frame.content)) {
+        return onEnd(*end);
+    }
+    if (std::holds_alternative<AnswerFrame::PromptCounted>(frame.content)) {
+        return CourseStep::Tighten;
+    }
+    if (const auto *data = std::get_if<AnswerFrame::Data>(&frame.content)) {
+        m_dataBytes += data->bytes.size();
+    }
+    m_begun = true;
+    return CourseStep::Deliver;
+}
+
+CourseStep RequestCourse::onRefused(RunRefusal reason)
+{
+    m_open = false;
+    m_declined.push_back(m_target);
+    if (reason == RunRefusal::Sealed) {
+        return finish(Outcome::NotRun, {.kind = FailureKind::Fenced, .detail = "this router was declared dead and restarts", .retryAfterMs = s_retryLostMs});
+    }
+    if (reason == RunRefusal::Duplicate) {
+        return finish(Outcome::Unknown, {.kind = FailureKind::AlreadyRunning, .detail = "a run of this request is known at the target", .ran = Ran::Unknown});
+    }
+    if (m_attempt >= m_options.maxAttempts) {
+        return finish(Outcome::NotRun, declinedEverywhere(reason));
+    }
+    return CourseStep::TryElsewhere;
+}
+
+CourseStep RequestCourse::onEnd(const AnswerFrame::End &end)
+{
+    m_usage = end.usage;
+    m_charged = end.charged;
+    if (end.end == RunEnd::NotRun) {
+        return onRefused(RunRefusal::EngineUnreachable);
+    }
+    if (end.end == RunEnd::Complete && end.dataBytes == m_dataBytes) {
+        return finish(Outcome::Answered, {});
+    }
+    if (end.end == RunEnd::Complete) {
+        return finish(Outcome::FailedAfterRunning,
+                      {.kind = FailureKind::AnswerIncomplete, .detail = "bytes of the answer were lost on the way", .ran = Ran::Yes});
+    }
+    if (end.end == RunEnd::Unknown) {
+        return finish(Outcome::Unknown, {.kind = FailureKind::TargetLost, .detail = "the engine was lost before it answered", .ran = Ran::Unknown});
+    }
+    return finish(Outcome::FailedAfterRunning, {.kind = FailureKind::EngineFailed, .detail = "the engine cut the answer", .ran = Ran::Yes});
+}
+
+CourseStep RequestCourse::onLost(FailureKind why)
+{
+    const Ran ran = m_begun ? Ran::Yes : Ran::Unknown;
+    const Outcome outcome = m_begun ? Outcome::FailedAfterRunning : Outcome::Unknown;
+    return finish(outcome, {.kind = why, .detail = "contact with the target was lost while it had the request", .ran = ran, .retryAfterMs = s_retryLostMs});
+}
+
+CourseStep RequestCourse::onNoTarget(const Failure &failure)
+{
+    return finish(Outcome::NotRun, failure);
+}
+
+}
--- /dev/null
+++ b/src/standin/enginemain.cpp
@@ -0,0 +1,54 @@
+#include <csignal>
+#include <iostream>
+
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include "net/workerpool.h"
+#include "standin/engineserver.h"
+#include "standin/faultswitch.h"
+
+DEFINE_string(address, "127.0.0.1", "IP address to listen on");
+DEFINE_int32(port, 9000, "port to listen on");
+DEFINE_string(model, "", "model served; empty for a plain service");
+DEFINE_bool(plain_service, false, "be a plain service instead of a model engine");
+DEFINE_int32(slots, 32, "requests at a time");
+DEFINE_int64(token_us, 5000, "time per token, in microseconds");
+DEFINE_int64(prompt_token_us, 20, "time per uncached prompt token, in microseconds");
+DEFINE_int64(report_lag_ms, 500, "age of load reports, in milliseconds");
+DEFINE_bool(checks_fencing, true, "refuse orders with an old fencing number");
+DEFINE_double(report_factor, 1, "tokens reported for each one given; 0 reports none");
+DEFINE_int32(workers, 1, "event loops");
+
+/// The engine stand-in as a process of its own.
+int main(int argc, char **argv)
+{
+    using namespace bamboohold;
+    std::signal(SIGPIPE, SIG_IGN);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    WorkerPool pool(FLAGS_workers);
+    EngineServer engine({.model = FLAGS_model,
+                         .plainService = FLAGS_plain_service,
+                         .slots = static_cast<std::uint32_t>(FLAGS_slots),
+                         .perToken = Duration(FLAGS_token_us),
+                         .perPromptToken = Duration(FLAGS_prompt_token_us),
+                         .reportLag = std::chrono::milliseconds(FLAGS_report_lag_ms),
+                         .checksFencing = FLAGS_checks_fencing,
+                         .reportFactor = FLAGS_report_factor});
+    FaultSwitch faults;
+    HttpServer server(pool,
+                      {.address = FLAGS_address, .port = static_cast<std::uint16_t>(FLAGS_port)},
+                      faults.around([&engine](HttpExchange &exchange) {
+                          return engine.handle(exchange);
+                      }));
+    if (const absl::Status status = server.open(); !status.ok()) {
+        std::cerr << status.message() << "\n";
+        return 2;
+    }
+    boost::asio::signal_set signals(pool.mainLoop(), SIGTERM, SIGINT);
+    signals.async_wait([&pool](const boost::system::error_code &, int) {
+        pool.stop();
+    });
+    pool.run();
+    return 0;
+}
--- /dev/null
+++ b/src/standin/engineserver.cpp
@@ -0,0 +1,370 @@
+#include "standin/engineserver.h"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "clock/steadytime.h"
+#include "platform/table.h"
+#include "standin/faultswitch.h"
+
+namespace bamboohold
+{
+
+namespace
+{
+
+constexpr std::size_t s_bytesPerToken = 4;
+constexpr std::size_t s_blockBytes = 256;
+constexpr std::uint64_t s_eventGap = 17;
+constexpr Tokens s_defaultMaxTokens = 256;
+constexpr Tokens s_shortestAnswer = 16;
+constexpr Tokens s_answerSpread = 64;
+constexpr Duration s_slotPoll = std::chrono::milliseconds(1);
+
+std::string promptOf(const boost::json::object &body)
+{
+    if (const auto *messages = body.if_contains("messages")) {
+        return boost::json::serialize(*messages);
+    }
+    return textField(body, "prompt");
+}
+
+/// How long the model "wants" to answer: fixed by the prompt, so that a run can be repeated.
+Tokens naturalLength(const std::string &prompt)
+{
+    return s_shortestAnswer + static_cast<Tokens>(std::hash<std::string>{}(prompt) % s_answerSpread);
+}
+
+std::string word(Tokens index)
+{
+    return absl::StrCat("w", index, " ");
+}
+
+}
+
+EngineServer::EngineServer(Options options)
+    : m_options(std::move(options))
+{
+}
+
+asio::awaitable<void> EngineServer::sleep(HttpExchange &exchange, Duration duration)
+{
+    asio::steady_timer timer(exchange.executor(), duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+std::size_t EngineServer::openJournal(const HttpExchange &exchange)
+{
+    const std::lock_guard lock(m_mutex);
+    m_journal.push_back({.requestId = std::string(exchange.header("X-Request-Id")),
+                         .attempt = std::string(exchange.header("X-Attempt")),
+                         .path = std::string(exchange.path()),
+                         .startedMs = wallClockMs()});
+    return m_journal.size() - 1;
+}
+
+void EngineServer::closeJournal(std::size_t index, Tokens output, std::string_view state)
+{
+    const std::lock_guard lock(m_mutex);
+    m_journal[index].outputTokens = output;
+    m_journal[index].state = state;
+}
+
+void EngineServer::sampleLoad()
+{
+    m_load.push_back({.at = steadyNow(), .running = m_running, .waiting = m_waiting});
+    while (m_load.size() > 1 && m_load[1].at < steadyNow() - m_options.reportLag) {
+        m_load.pop_front();
+    }
+}
+
+void EngineServer::cacheEvent(std::string block, bool stored)
+{
+    const std::uint64_t number = m_nextEvent++;
+    if (number % s_eventGap == 0) {
+        return;
+    }
+    m_cacheEvents.push_back({.number = number, .block = std::move(block), .stored = stored, .visibleAt = steadyNow() + m_options.eventLag});
+    if (m_cacheEvents.size() > m_options.cacheBlocks) {
+        m_cacheEvents.pop_front();
+    }
+}
+
+Tokens EngineServer::uncachedTokens(const std::string &prompt, Tokens promptTokens)
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t hitBytes = 0;
+    bool matching = true;
+    for (std::size_t end = s_blockBytes; end <= prompt.size(); end += s_blockBytes) {
+        const std::string block = absl::StrCat(std::hash<std::string_view>{}(std::string_view(prompt).substr(0, end)));
+        const auto found = m_cache.find(block);
+        matching = matching && found != m_cache.end();
+        if (found != m_cache.end()) {
+            hitBytes = matching ? end : hitBytes;
+            m_cacheOrder.splice(m_cacheOrder.begin(), m_cacheOrder, found->second);
+            continue;
+        }
+        m_cacheOrder.push_front(block);
+        m_cache[block] = m_cacheOrder.begin();
+        cacheEvent(block, true);
+        if (m_cache.size() > m_options.cacheBlocks) {
+            cacheEvent(m_cacheOrder.back(), false);
+            m_cache.erase(m_cacheOrder.back());
+            m_cacheOrder.pop_back();
+        }
+    }
+    return std::max<Tokens>(0, promptTokens - static_cast<Tokens>(hitBytes / s_bytesPerToken));
+}
+
+std::string EngineServer::usageJson(const Job &job, Tokens output) const
+{
+    const auto reported = static_cast<Tokens>(static_cast<double>(output) * m_options.reportFactor);
+    return absl::StrCat("{\"prompt_tokens\":", job.promptTokens, ",\"completion_tokens\":", reported, ",\"total_tokens\":", job.promptTokens + reported, "}");
+}
+
+asio::awaitable<bool> EngineServer::waitForSlot(HttpExchange &exchange, Job &job)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_waiting;
+        sampleLoad();
+    }
+    while (true) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_running < m_options.slots || job.hungUp) {
+                --m_waiting;
+                m_running += job.hungUp ? 0 : 1;
+                sampleLoad();
+                co_return !job.hungUp;
+            }
+        }
+        co_await sleep(exchange, s_slotPoll);
+    }
+}
+
+asio::awaitable<void> EngineServer::streamTokens(HttpExchange &exchange, Job &job)
+{
+    co_await exchange.beginStream(200, "text/event-stream");
+    const std::string object = job.chat ? "chat.completion.chunk" : "text_completion";
+    const Instant begin = steadyNow();
+    Tokens given = 0;
+    bool open = true;
+    while (given < job.outputTokens && open && !job.hungUp && !stopped(job)) {
+        co_await sleep(exchange, m_options.perToken);
+        const auto due = std::min<Tokens>(job.outputTokens, std::max<Tokens>(given + 1, (steadyNow() - begin) / std::max(m_options.perToken, Duration(1))));
+        std::string events;
+        for (; given < due; ++given) {
+            const std::string content = job.chat ? absl::StrCat("\"delta\":{\"content\":\"", word(given), "\"}") : absl::StrCat("\"text\":\"", word(given), "\"");
+            absl::StrAppend(&events, "data: {\"id\":\"cmpl-", job.journalIndex, "\",\"object\":\"", object, "\",\"model\":\"", m_options.model);
+            absl::StrAppend(&events, "\",\"choices\":[{\"index\":0,", content, ",\"finish_reason\":null}]");
+            if (m_options.reportFactor > 0) {
+                absl::StrAppend(&events, ",\"usage\":", usageJson(job, given + 1));
+            }
+            absl::StrAppend(&events, "}\n\n");
+        }
+        // In the journal before the caller can have it: whatever reached a caller counts as run.
+        closeJournal(job.journalIndex, given, "running");
+        open = co_await exchange.writeChunk(events);
+    }
+    if (!open || job.hungUp) {
+        closeJournal(job.journalIndex, given, "cut");
+        co_return;
+    }
+    closeJournal(job.journalIndex, given, "finished");
+    std::string last = absl::StrCat("data: {\"id\":\"cmpl-", job.journalIndex, "\",\"object\":\"", object, "\",\"model\":\"", m_options.model);
+    absl::StrAppend(&last, "\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"", job.finishReason, "\"}]");
+    if (m_options.reportFactor > 0) {
+        absl::StrAppend(&last, ",\"usage\":", usageJson(job, given));
+    }
+    absl::StrAppend(&last, "}\n\ndata: [DONE]\n\n");
+    co_await exchange.writeChunk(last);
+    co_await exchange.endStream();
+}
+
+asio::awaitable<void> EngineServer::wholeAnswer(HttpExchange &exchange, Job &job)
+{
+    Tokens given = 0;
+    std::string text;
+    const Instant begin = steadyNow();
+    while (given < job.outputTokens && !job.hungUp && !stopped(job)) {
+        co_await sleep(exchange, m_options.perToken);
+        const auto due = std::min<Tokens>(job.outputTokens, std::max<Tokens>(given + 1, (steadyNow() - begin) / std::max(m_options.perToken, Duration(1))));
+        for (; given < due; ++given) {
+            text += word(given);
+        }
+        closeJournal(job.journalIndex, given, "running");
+    }
+    closeJournal(job.journalIndex, given, job.hungUp ? "cut" : "finished");
+    if (job.hungUp) {
+        co_return;
+    }
+    const std::string choice = job.chat ? absl::StrCat("\"message\":{\"role\":\"assistant\",\"content\":\"", text, "\"}") : absl::StrCat("\"text\":\"", text, "\"");
+    std::string body = absl::StrCat("{\"id\":\"cmpl-", job.journalIndex, "\",\"object\":\"", job.chat ? "chat.completion" : "text_completion");
+    absl::StrAppend(&body, "\",\"model\":\"", m_options.model, "\",\"choices\":[{\"index\":0,", choice, ",\"finish_reason\":\"", job.finishReason, "\"}]");
+    if (m_options.reportFactor > 0) {
+        absl::StrAppend(&body, ",\"usage\":", usageJson(job, given));
+    }
+    absl::StrAppend(&body, "}");
+    co_await exchange.respond(200, "application/json", std::move(body));
+}
+
+asio::awaitable<void> EngineServer::complete(HttpExchange &exchange)
+{
+    boost::json::error_code error;
+    const boost::json::value body = boost::json::parse(exchange.request().body(), error);
+    if (error || !body.is_object()) {
+        co_await exchange.respond(400, "application/json", errorBody({.kind = FailureKind::InvalidRequest, .detail = "the body must be a JSON object"}, ""));
+        co_return;
+    }
+    const boost::json::object &object = body.get_object();
+    const auto *stream = object.if_contains("stream");
+    const Tokens limit = object.contains("max_tokens") ? integerField(object, "max_tokens") : s_defaultMaxTokens;
+    Job job{.requestId = std::string(exchange.header("X-Request-Id")), .prompt = promptOf(object), .chat = exchange.path() == "/v1/chat/completions"};
+    job.stream = stream != nullptr && stream->is_bool() && stream->get_bool();
+    job.promptTokens = static_cast<Tokens>((job.prompt.size() + s_bytesPerToken - 1) / s_bytesPerToken);
+    const Tokens natural = object.contains("min_tokens") ? std::max(integerField(object, "min_tokens"), s_shortestAnswer) : naturalLength(job.prompt);
+    job.outputTokens = std::min(natural, limit);
+    job.finishReason = natural > limit ? "length" : "stop";
+    job.journalIndex = openJournal(exchange);
+    exchange.onHangUp([&job] {
+        job.hungUp = true;
+    });
+    const bool admitted = co_await waitForSlot(exchange, job);
+    if (!admitted) {
+        closeJournal(job.journalIndex, 0, "cut");
+        co_return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_journal[job.journalIndex].promptTokens = job.promptTokens;
+    }
+    const Tokens uncached = uncachedTokens(job.prompt, job.promptTokens);
+    co_await sleep(exchange, m_options.perPromptToken * uncached);
+    if (job.stream) {
+        co_await streamTokens(exchange, job);
+    } else {
+        co_await wholeAnswer(exchange, job);
+    }
+    const std::lock_guard lock(m_mutex);
+    --m_running;
+    sampleLoad();
+}
+
+asio::awaitable<void> EngineServer::cancel(HttpExchange &exchange)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_cancelled.insert(queryParameter(exchange, "request"));
+    }
+    co_await exchange.respond(200, "application/json", "{\"cancelled\":true}");
+}
+
+bool EngineServer::stopped(const Job &job)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_cancelled.contains(job.requestId);
+}
+
+asio::awaitable<void> EngineServer::servePlain(HttpExchange &exchange)
+{
+    const std::size_t index = openJournal(exchange);
+    co_await sleep(exchange, m_options.perToken);
+    closeJournal(index, 0, "finished");
+    boost::json::object body{{"accepted", true}, {"call", static_cast<std::int64_t>(index)}, {"path", std::string(exchange.path())}};
+    co_await exchange.respond(200, "application/json", boost::json::serialize(body));
+}
+
+asio::awaitable<void> EngineServer::order(HttpExchange &exchange)
+{
+    std::int64_t fencing = 0;
+    (void)absl::SimpleAtoi(queryParameter(exchange, "fencing"), &fencing);
+    bool taken = true;
+    {
+        const std::lock_guard lock(m_mutex);
+        taken = !m_options.checksFencing || fencing >= m_fencing;
+        if (taken) {
+            m_fencing = std::max(m_fencing, fencing);
+            m_loaded = queryParameter(exchange, "load");
+        }
+    }
+    if (!taken) {
+        co_await exchange.respond(409, "application/json", errorBody({.kind = FailureKind::Fenced, .detail = "the order's fencing number is old"}, ""));
+        co_return;
+    }
+    co_await exchange.respond(200, "application/json", "{\"accepted\":true}");
+}
+
+std::string EngineServer::journalJson()
+{
+    const std::lock_guard lock(m_mutex);
+    boost::json::array runs;
+    for (const JournalEntry &entry : m_journal) {
+        runs.emplace_back(boost::json::object{{"request", entry.requestId},
+                                              {"attempt", entry.attempt},
+                                              {"path", entry.path},
+                                              {"prompt_tokens", entry.promptTokens},
+                                              {"output_tokens", entry.outputTokens},
+                                              {"state", entry.state},
+                                              {"started_ms", entry.startedMs}});
+    }
+    return boost::json::serialize(boost::json::object{{"runs", std::move(runs)}});
+}
+
+std::string EngineServer::loadJson()
+{
+    const std::lock_guard lock(m_mutex);
+    sampleLoad();
+    const LoadSample &sample = m_load.front();
+    return absl::StrCat("{\"running\":", sample.running, ",\"waiting\":", sample.waiting, ",\"slots\":", m_options.slots, "}");
+}
+
+std::string EngineServer::cacheEventsJson(std::uint64_t after)
+{
+    const std::lock_guard lock(m_mutex);
+    const Instant now = steadyNow();
+    boost::json::array events;
+    for (const CacheEvent &event : m_cacheEvents) {
+        if (event.number > after && event.visibleAt <= now) {
+            events.emplace_back(boost::json::object{{"number", static_cast<std::int64_t>(event.number)}, {"block", event.block}, {"stored", event.stored}});
+        }
+    }
+    return boost::json::serialize(boost::json::object{{"events", std::move(events)}});
+}
+
+asio::awaitable<void> EngineServer::handle(HttpExchange &exchange)
+{
+    const std::string_view path = exchange.path();
+    if (path == "/healthz") {
+        co_await exchange.respond(200, "application/json", "{}");
+    } else if (path == "/journal") {
+        co_await exchange.respond(200, "application/json", journalJson());
+    } else if (path == "/load") {
+        co_await exchange.respond(200, "application/json", loadJson());
+    } else if (path == "/cache/events") {
+        std::uint64_t after = 0;
+        (void)absl::SimpleAtoi(queryParameter(exchange, "after"), &after);
+        co_await exchange.respond(200, "application/json", cacheEventsJson(after));
+    } else if (path == "/v1/cancel") {
+        co_await cancel(exchange);
+    } else if (path == "/orders") {
+        co_await order(exchange);
+    } else if (m_options.plainService) {
+        co_await servePlain(exchange);
+    } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
+        co_await complete(exchange);
+    } else if (path == "/v1/models") {
+        co_await exchange.respond(200, "application/json", absl::StrCat("{\"object\":\"list\",\"data\":[{\"id\":\"", m_options.model, "\",\"object\":\"model\"}]}"));
+    } else {
+        co_await exchange.respond(404, "application/json", errorBody({.kind = FailureKind::NotFound, .detail = std::string(path)}, ""));
+    }
+}
+
+}
--- /dev/null
+++ b/src/standin/engineserver.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/json/object.hpp>
+
+#include "clock/instant.h"
+#include "net/httpserver.h"
+
+namespace bamboohold
+{
+
+/// The stand-in for a model engine or a plain service. A model engine speaks the OpenAI interface, runs a limited number of requests at a time, spends
+/// time on prompt tokens that its prefix cache lacks and then gives tokens at a steady pace. Every run is in its journal: the ground truth that the
+/// fleet's ledger is compared with.
+class EngineServer
+{
+public:
+    struct Options {
+        std::string model;
+        /// True for a plain service, which answers any path and must not be called twice for one submission.
+        bool plainService = false;
+        std::uint32_t slots = 32;
+        Duration perToken = std::chrono::milliseconds(5);
+        Duration perPromptToken = std::chrono::microseconds(20);
+        /// Prefix blocks kept in the cache.
+        std::size_t cacheBlocks = 4096;
+        /// How old a load report is.
+        Duration reportLag = std::chrono::milliseconds(500);
+        /// How late a cache event is; every s_eventGap-th is lost.
+        Duration eventLag = std::chrono::seconds(1);
+        /// True: an order with an old fencing number is refused.
+        bool checksFencing = true;
+        /// Tokens reported for each one given; 1 is the truth, 0 reports none at all.
+        double reportFactor = 1;
+    };
+
+    explicit EngineServer(Options options);
+
+    /// Answers one request.
+    asio::awaitable<void> handle(HttpExchange &exchange);
+
+private:
+    struct JournalEntry {
+        std::string requestId;
+        std::string attempt;
+        std::string path;
+        Tokens promptTokens = 0;
+        Tokens outputTokens = 0;
+        std::string state = "running";
+        std::int64_t startedMs = 0;
+    };
+
+    struct Job {
+        std::size_t journalIndex = 0;
+        std::string requestId;
+        std::string prompt;
+        Tokens promptTokens = 0;
+        Tokens outputTokens = 0;
+        bool chat = true;
+        bool stream = false;
+        bool hungUp = false;
+        std::string finishReason = "stop";
+    };
+
+    struct LoadSample {
+        Instant at;
+        std::uint32_t running = 0;
+        std::uint32_t waiting = 0;
+    };
+
+    struct CacheEvent {
+        std::uint64_t number = 0;
+        std::string block;
+        bool stored = true;
+        Instant visibleAt;
+    };
+
+    asio::awaitable<void> complete(HttpExchange &exchange);
+    asio::awaitable<void> servePlain(HttpExchange &exchange);
+    asio::awaitable<void> streamTokens(HttpExchange &exchange, Job &job);
+    asio::awaitable<void> wholeAnswer(HttpExchange &exchange, Job &job);
+    asio::awaitable<void> order(HttpExchange &exchange);
+    asio::awaitable<void> cancel(HttpExchange &exchange);
+    bool stopped(const Job &job);
+    asio::awaitable<bool> waitForSlot(HttpExchange &exchange, Job &job);
+    asio::awaitable<void> sleep(HttpExchange &exchange, Duration duration);
+
+    Tokens uncachedTokens(const std::string &prompt, Tokens promptTokens);
+    void cacheEvent(std::string block, bool stored);
+    void sampleLoad();
+    std::string usageJson(const Job &job, Tokens output) const;
+    std::string journalJson();
+    std::string loadJson();
+    std::string cacheEventsJson(std::uint64_t after);
+    std::size_t openJournal(const HttpExchange &exchange);
+    void closeJournal(std::size_t index, Tokens output, std::string_view state);
+
+    Options m_options;
+    std::mutex m_mutex;
+    std::deque<JournalEntry> m_journal;
+    std::set<std::string> m_cancelled;
+    std::deque<LoadSample> m_load;
+    std::list<std::string> m_cacheOrder;
+    std::map<std::string, std::list<std::string>::iterator> m_cache;
+    std::deque<CacheEvent> m_cacheEvents;
+    std::uint64_t m_nextEvent = 1;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_waiting = 0;
+    std::int64_t m_fencing = 0;
+    std::string m_loaded;
+};
+
+}
--- /dev/null
+++ b/src/standin/platformmain.cpp
@@ -0,0 +1,39 @@
+#include <csignal>
+#include <iostream>
+
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include "net/workerpool.h"
+#include "standin/faultswitch.h"
+#include "standin/platformserver.h"
+
+DEFINE_string(address, "127.0.0.1", "IP address to listen on");
+DEFINE_int32(port, 7300, "port to listen on");
+DEFINE_int64(list_lag_ms, 5000, "time until a host's change of state shows in the list, in milliseconds");
+
+/// The platform stand-in as a process of its own.
+int main(int argc, char **argv)
+{
+    using namespace bamboohold;
+    std::signal(SIGPIPE, SIG_IGN);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    WorkerPool pool(1);
+    PlatformServer platform({.listLag = std::chrono::milliseconds(FLAGS_list_lag_ms)});
+    FaultSwitch faults;
+    HttpServer server(pool,
+                      {.address = FLAGS_address, .port = static_cast<std::uint16_t>(FLAGS_port)},
+                      faults.around([&platform](HttpExchange &exchange) {
+                          return platform.handle(exchange);
+                      }));
+    if (const absl::Status status = server.open(); !status.ok()) {
+        std::cerr << status.message() << "\n";
+        return 2;
+    }
+    boost::asio::signal_set signals(pool.mainLoop(), SIGTERM, SIGINT);
+    signals.async_wait([&pool](const boost::system::error_code &, int) {
+        pool.stop();
+    });
+    pool.run();
+    return 0;
+}
--- /dev/null
+++ b/src/standin/platformserver.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "clock/instant.h"
+#include "net/httpserver.h"
+#include "platform/memorytable.h"
+
+namespace bamboohold
+{
+
+/// The platform's stand-in over HTTP: table, object store, lagging host list and rate-limited weight store.
+class PlatformServer
+{
+public:
+    struct Options {
+        /// How long a change of a host's state takes to show in the list.
+        Duration listLag = std::chrono::seconds(5);
+        /// Bytes a second that the weight store hands out.
+        std::int64_t weightBytesPerSecond = 100'000'000;
+    };
+
+    explicit PlatformServer(Options options);
+
+    /// Answers one request.
+    asio::awaitable<void> handle(HttpExchange &exchange);
+
+private:
+    struct HostChange {
+        std::string host;
+        std::string state;
+        Instant visibleAt;
+    };
+
+    struct Answer {
+        unsigned status = 200;
+        std::string body;
+        std::string contentType = "application/json";
+    };
+
+    Answer transact(const HttpExchange &exchange);
+    Answer readRows(const HttpExchange &exchange);
+    Answer scanRows(const HttpExchange &exchange);
+    Answer object(const HttpExchange &exchange);
+    Answer hosts(const HttpExchange &exchange);
+    Answer counters();
+    asio::awaitable<void> weights(HttpExchange &exchange);
+
+    Options m_options;
+    std::mutex m_mutex;
+    MemoryTable m_table;
+    std::map<std::string, std::string> m_visibleHosts;
+    std::deque<HostChange> m_hostChanges;
+    Instant m_weightsFreeAt{};
+    std::uint64_t m_reads = 0;
+};
+
+}
