--- /dev/null
+++ b/scripts/measurerequests.py
@@ -0,0 +1,6 @@
+def live():
+    return 1
+
+
+def main(picture):
+    return 1
--- a/src/caller/requestdriver.cpp
+++ b/src/caller/requestdriver.cpp
@@ -131,11 +131,12 @@
     if (reserved.ok() || toFailure(reserved).kind != FailureKind::BudgetUnreachable) {
         co_return reserved;
     }
-    const auto sponsor = co_await m_sponsors.ask({.requestId = request.requestId,
-                                                  .budget = request.budget,
-                                                  .team = request.team,
-                                                  .bound = request.bound,
-                                                  .overIn = request.deadline - steadyNow() + m_options.targetSilence});
+    Sponsorship::Need need{.requestId = request.requestId,
+                           .budget = request.budget,
+                           .team = request.team,
+                           .bound = request.bound,
+                           .overIn = request.deadline - steadyNow() + m_options.targetSilence};
+    const auto sponsor = co_await m_sponsors.ask(std::move(need));
     if (!sponsor) {
         co_return reserved;
     }
--- a/src/standin/engineserver.cpp
+++ b/src/standin/engineserver.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/crc.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -34,6 +35,14 @@
     return textField(body, "prompt");
 }
 
+/// Tells a caller whose prompt an answer belongs to: every piece of an answer carries it.
+std::string fingerprintOf(const std::string &prompt)
+{
+    boost::crc_32_type crc;
+    crc.process_bytes(prompt.data(), prompt.size());
+    return absl::StrCat("fp-", crc.checksum());
+}
+
 /// How long the model "wants" to answer: fixed by the prompt, so that a run can be repeated.
 Tokens naturalLength(const std::string &prompt)
 {
@@ -171,6 +180,7 @@
                 job.chat ? absl::StrCat("\"delta\":{\"content\":\"", word(given), "\"}") : absl::StrCat("\"text\":\"", word(given), "\"");
             absl::StrAppend(
                 &events, "data: {\"id\":\"cmpl-", job.journalIndex, "\",\"object\":\"", object, "\",\"model\":\"", m_options.model);
+            absl::StrAppend(&events, "\",\"system_fingerprint\":\"", job.fingerprint);
             absl::StrAppend(&events, "\",\"choices\":[{\"index\":0,", content, ",\"finish_reason\":null}]");
             if (m_options.reportFactor > 0) {
                 absl::StrAppend(&events, ",\"usage\":", usageJson(job, given + 1));
@@ -222,6 +232,8 @@
     absl::StrAppend(&body,
                     "\",\"model\":\"",
                     m_options.model,
+                    "\",\"system_fingerprint\":\"",
+                    job.fingerprint,
                     "\",\"choices\":[{\"index\":0,",
                     choice,
                     ",\"finish_reason\":\"",
@@ -249,6 +261,7 @@
     Job job{.requestId = std::string(exchange.header("X-Request-Id")),
             .prompt = promptOf(object),
             .chat = exchange.path() == "/v1/chat/completions"};
+    job.fingerprint = fingerprintOf(job.prompt);
     job.stream = stream != nullptr && stream->is_bool() && stream->get_bool();
     job.promptTokens = static_cast<Tokens>((job.prompt.size() + s_bytesPerToken - 1) / s_bytesPerToken);
     const Tokens natural =
--- a/src/standin/engineserver.h
+++ b/src/standin/engineserver.h
@@ -60,6 +60,7 @@
         std::size_t journalIndex = 0;
         std::string requestId;
         std::string prompt;
+        std::string fingerprint;
         Tokens promptTokens = 0;
         Tokens outputTokens = 0;
         bool chat = true;
