Claims: a request that must not run twice is claimed in the table before it is dispatched

Cause: a caller's retry of a registry submission at another router ran it again; only one HTTP request was at-most-once by itself.

A claim is released only where the request certainly did not run.

Ruled out: key ranges owned by sidecars (a lost sidecar takes its keys' memory with it), one write a claim (several hundred a second at most).

--- a/scripts/measurerequests.py
+++ b/scripts/measurerequests.py
@@ -1,6 +1,155 @@
-def live():
-    return 1
+"""Outcomes of requests on running processes that are killed, paused, restarted and drained."""
+
+import collections
+import http.client
+import json
+import signal
+import threading
+import time
+
+import fleetlib
+import livetrial
+
+ROUTER_FLAGS = ("--reclaim_after_ms=3000", "--platform_timeout_ms=300")
+LEAVING_GRACE_MS = 3000
+TRIES = 6
+
+
+class Submitter(threading.Thread):
+    """Submits registry entries that must not be filed twice, and tries each again at another router until it has an answer or is told that it may have
+    run."""
+
+    def __init__(self, trial, number, team):
+        super().__init__(daemon=True)
+        self.trial = trial
+        self.number = number
+        self.team = team
+        self.told = {}
+
+    def run(self):
+        count = 0
+        while not self.trial.stopping.is_set():
+            key = f"entry-{self.number}-{count}"
+            self.told[key] = self.submit(key)
+            count += 1
+
+    def submit(self, key):
+        routers = self.trial.fleet["routers"]
+        last = "lost"
+        for attempt in range(TRIES):
+            router = routers[(self.number + attempt) % len(routers)]
+            headers = {"Authorization": f"Bearer {self.team['key']}", "Idempotency-Key": key, "X-Request-Deadline-Ms": "5000"}
+            try:
+                status, _, body = fleetlib.call(router["url"], f"/services/filing/submissions/{key}", method="POST", body="{}", headers=headers, timeout=8)
+            except (OSError, http.client.HTTPException):
+                last = "lost"
+                continue
+            if status == 200:
+                return "answered"
+            last = json.loads(body)["error"]["ran"]
+            time.sleep(0.1)
+        return {"no": "not_run", "yes": "failed", "unknown": "unknown"}.get(last, last)
+
+
+def routers_killed(trial):
+    for index in (0, 1):
+        time.sleep(2)
+        trial.kill("routers", index)
+        time.sleep(1)
+        trial.restart("routers", index)
+    time.sleep(8)
+
+
+def routers_paused(trial):
+    time.sleep(2)
+    trial.signal("routers", 0, signal.SIGSTOP)
+    time.sleep(7)
+    trial.signal("routers", 0, signal.SIGCONT)
+    fleetlib.wait_until(lambda: not trial.running("routers", 0), "the end of the woken router")
+    trial.restart("routers", 0)
+    time.sleep(3)
+
 
+def sidecars_and_engines_killed(trial):
+    for index in (0, 9):
+        time.sleep(2)
+        trial.kill("sidecars", index)
+        time.sleep(0.5)
+        trial.restart("sidecars", index)
+    time.sleep(5)
 
-def main(picture):
-    return 1
+
+def target_leaves(trial):
+    time.sleep(2)
+    trial.leaving = {"target": trial.fleet["sidecars"][0]["target"], "at_ms": time.time() * 1000}
+    trial.signal("sidecars", 0, signal.SIGTERM)
+    time.sleep(6)
+
+
+def routers_drain(trial):
+    time.sleep(2)
+    trial.signal("routers", 0, signal.SIGTERM)
+    fleetlib.wait_until(lambda: not trial.running("routers", 0), "the end of the draining router")
+    trial.restart("routers", 0)
+    time.sleep(4)
+
+
+def table_down(trial):
+    time.sleep(2)
+    trial.platform_fault("down")
+    time.sleep(5)
+    trial.platform_fault("none")
+    time.sleep(3)
+
+
+TRIALS = (routers_killed, routers_paused, sidecars_and_engines_killed, target_leaves, routers_drain, table_down)
+
+
+def submissions(trial, submitters):
+    """How often each entry reached a service, compared with what its submitter was told."""
+    runs = collections.Counter(run["path"].rsplit("/", 1)[1] for run in trial.journal() if run["path"].startswith("/submissions/"))
+    told = {key: value for submitter in submitters for key, value in submitter.told.items()}
+    return {
+        "submissions": len(told),
+        "submissions_answered": sum(1 for value in told.values() if value == "answered"),
+        "submissions_told_not_run": sum(1 for value in told.values() if value == "not_run"),
+        "submissions_unknown_or_lost": sum(1 for value in told.values() if value in ("unknown", "failed", "lost")),
+        "submissions_run_twice": sum(1 for count in runs.values() if count > 1),
+        "submissions_answered_but_not_run": sum(1 for key, value in told.items() if value == "answered" and not runs[key]),
+        "submissions_wrongly_told_not_run": sum(1 for key, value in told.items() if value == "not_run" and runs[key]),
+    }
+
+
+def late_work(trial):
+    """Runs that began at the leaving target more than the grace after it began to leave."""
+    if trial.leaving is None:
+        return 0
+    limit = trial.leaving["at_ms"] + LEAVING_GRACE_MS
+    return sum(1 for run in trial.journal() if run["target"] == trial.leaving["target"] and run["started_ms"] > limit)
+
+
+def live():
+    clean = True
+    for bring_about in TRIALS:
+        inventory, plentiful = livetrial.himal(40_000_000)
+        trial = livetrial.Trial(inventory, router_flags=ROUTER_FLAGS)
+        trial.leaving = None
+        try:
+            trial.call(2)
+            teams = {team["name"]: team for team in trial.fleet["teams"]}
+            submitters = [Submitter(trial, number, teams["dossier-drafting"]) for number in range(6)]
+            for submitter in submitters:
+                submitter.start()
+            bring_about(trial)
+            trial.stop_calling()
+            for submitter in submitters:
+                submitter.join(60)
+            report = trial.report(bring_about.__name__, plentiful)
+            report.update(submissions(trial, submitters))
+            report["new_work_at_a_leaving_target_after_3_s"] = late_work(trial)
+        finally:
+            trial.close()
+        wrong = [name for name in report if name.startswith("submissions_") and name.endswith(("twice", "not_run")) and "told_not_run" != name[12:]]
+        clean = clean and livetrial.is_clean(report) and not report["new_work_at_a_leaving_target_after_3_s"] and not any(report[name] for name in wrong)
+        print(json.dumps(report), flush=True)
+    return 0 if clean else 1
--- a/src/caller/callerapi.cpp
+++ b/src/caller/callerapi.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view s_bearer = "Bearer ";
 constexpr std::string_view s_deadlineHeader = "X-Request-Deadline-Ms";
 constexpr std::string_view s_nonIdempotentHeader = "X-Non-Idempotent";
+constexpr std::size_t s_longestIdempotencyKey = 255;
 constexpr std::int64_t s_longestDeadlineMs = 3'600'000;
 constexpr std::int64_t s_retryDrainingMs = 1'000;
 
@@ -98,6 +99,10 @@
     const std::string_view type = exchange.header("Content-Type");
     request.contentType = type.empty() ? "application/json" : std::string(type);
     request.nonIdempotent = exchange.header(s_nonIdempotentHeader) == "true";
+    request.idempotencyKey = std::string(exchange.header("Idempotency-Key"));
+    if (request.idempotencyKey.size() > s_longestIdempotencyKey) {
+        return failed(FailureKind::InvalidRequest, absl::StrCat("Idempotency-Key must have at most ", s_longestIdempotencyKey, " bytes"));
+    }
     const std::string_view path = exchange.path();
     absl::Status status = absl::OkStatus();
     if (path == s_chatPath || path == s_completionPath) {
--- a/src/caller/requestdriver.cpp
+++ b/src/caller/requestdriver.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration s_queuePoll = std::chrono::milliseconds(5);
 constexpr Duration s_silenceCheck = std::chrono::milliseconds(500);
+constexpr std::int64_t s_retryClaimedMs = 2'000;
 constexpr std::uint64_t s_initialCredit = 256 * 1024;
 constexpr std::size_t s_creditBatch = 64 * 1024;
 
@@ -46,6 +47,7 @@
     std::uint64_t earliestFlush = 0;
     /// The peer whose grant pays; empty for this router's own.
     std::string payer;
+    std::optional<Claim> claim;
     bool streaming = false;
     bool cancelSent = false;
     /// The caller has its final answer, or hung up; only the settlement is still to come.
@@ -53,13 +55,14 @@
 };
 
 RequestDriver::RequestDriver(
-    BudgetService &budgets, Sponsorship &sponsors, TargetTable &targets, std::mutex &routingMutex, Metrics &metrics, Options options)
+    BudgetService &budgets, Sponsorship &sponsors, ClaimService &claims, TargetTable &targets, std::mutex &routingMutex, Metrics &metrics, Options options)
     : m_budgets(budgets)
     , m_sponsors(sponsors)
+    , m_claims(claims)
     , m_targets(targets)
     , m_routingMutex(routingMutex)
     , m_metrics(metrics)
-    , m_options(options)
+    , m_options(std::move(options))
 {
 }
 
@@ -96,10 +99,18 @@
     exchange.onHangUp([mailbox = journey.mailbox] {
         mailbox->hangUp();
     });
+    if (journey.request.nonIdempotent && !journey.request.idempotencyKey.empty()) {
+        const bool mine = co_await claim(journey);
+        if (!mine) {
+            observe(journey);
+            co_return;
+        }
+    }
     if (!journey.request.plainService()) {
         const absl::Status reserved = co_await reserve(journey);
         if (!reserved.ok()) {
             journey.course.onNoTarget(toFailure(reserved));
+            co_await closeClaim(journey);
             co_await answer(journey);
             observe(journey);
             co_return;
@@ -118,10 +129,78 @@
         const std::lock_guard lock(m_beginsMutex);
         m_begins.extract(journey.begin);
     }
+    co_await closeClaim(journey);
     co_await answer(journey);
     observe(journey);
 }
 
+asio::awaitable<bool> RequestDriver::claim(Journey &journey)
+{
+    Claim wanted{.key = claimKey(journey.request.team, journey.request.idempotencyKey), .requestId = journey.request.requestId, .router = m_options.incarnation};
+    const auto result = co_await m_claims.take(wanted);
+    if (!result.ok()) {
+        journey.course.onNoTarget(toFailure(result.status()));
+        co_await answer(journey);
+        co_return false;
+    }
+    if (result->taken) {
+        wanted.version = result->version;
+        journey.claim = std::move(wanted);
+        co_return true;
+    }
+    Claim standing = result->standing;
+    co_await answerFromClaim(journey, std::move(standing));
+    co_return false;
+}
+
+asio::awaitable<void> RequestDriver::answerFromClaim(Journey &journey, Claim standing)
+{
+    Failure failure{.kind = FailureKind::AlreadyRunning, .ran = Ran::Unknown, .retryAfterMs = s_retryClaimedMs};
+    failure.detail = absl::StrCat("request ", standing.requestId, " with this idempotency key is under way or was lost; it is not run again");
+    if (standing.state == Claim::State::Done && standing.outcome == outcomeName(Outcome::Answered)) {
+        const auto body = co_await m_claims.result(standing.resultObject);
+        if (body.ok()) {
+            std::vector<HttpHeader> headers = answerHeaders(journey.request);
+            headers.front().value = standing.requestId;
+            headers.push_back({.name = "Idempotent-Replayed", .value = "true"});
+            co_await journey.exchange.respond(standing.status, standing.contentType, *body, std::move(headers));
+            journey.callerDone = true;
+        }
+    } else if (standing.state == Claim::State::Done) {
+        const bool ran = standing.outcome == outcomeName(Outcome::FailedAfterRunning);
+        failure = Failure{.kind = FailureKind::EngineFailed, .ran = ran ? Ran::Yes : Ran::Unknown};
+        failure.detail = absl::StrCat("request ", standing.requestId, " with this idempotency key ended as ", standing.outcome, "; it is not run again");
+    }
+    journey.course.onStanding(std::move(failure));
+    if (!journey.callerDone) {
+        co_await answerFailure(journey, journey.course.failure());
+    }
+}
+
+asio::awaitable<void> RequestDriver::closeClaim(Journey &journey)
+{
+    if (!journey.claim) {
+        co_return;
+    }
+    Claim claim = *journey.claim;
+    if (journey.course.outcome() == Outcome::NotRun) {
+        co_await m_claims.release(std::move(claim));
+        co_return;
+    }
+    claim.state = Claim::State::Done;
+    claim.outcome = outcomeName(journey.course.outcome());
+    if (journey.course.outcome() == Outcome::Answered) {
+        claim.resultObject = absl::StrCat("result/", journey.request.requestId);
+        claim.status = journey.status;
+        claim.contentType = journey.contentType;
+    }
+    // Without an answer from the table the claim stays as it is, and a retry is told that the request may have run.
+    const absl::Status written = co_await m_claims.finish(std::move(claim), journey.body);
+    if (!written.ok()) {
+        logLine(Severity::Warning, "a claim's end could not be written", {{"request", journey.request.requestId}});
+    }
+}
+
 asio::awaitable<absl::Status> RequestDriver::reserve(Journey &journey)
 {
     const RoutedRequest &request = journey.request;
@@ -318,9 +397,15 @@
     if (!journey.firstByte) {
         journey.firstByte = steadyNow();
     }
-    if (!journey.streaming) {
+    // The whole answer is kept where a retry of the request has to get it again.
+    if (!journey.streaming || journey.claim) {
         journey.body += bytes;
-    } else if (!journey.callerDone) {
+    }
+    if (!journey.streaming) {
+        giveCredit(journey, bytes.size());
+        co_return;
+    }
+    if (!journey.callerDone) {
         const bool taken = co_await journey.exchange.writeChunk(bytes);
         if (!taken) {
             journey.mailbox->hangUp();
--- a/src/caller/requestdriver.h
+++ b/src/caller/requestdriver.h
@@ -15,6 +15,7 @@
 #include "net/httpserver.h"
 #include "operations/metrics.h"
 #include "request/answermailbox.h"
+#include "request/claimservice.h"
 #include "request/requestcourse.h"
 #include "routing/targettable.h"
 
@@ -33,6 +34,8 @@
     std::string body;
     bool streamed = false;
     bool nonIdempotent = false;
+    /// The caller's name for the request, empty when it gave none.
+    std::string idempotencyKey;
     Tokens bound = 0;
     Tokens outputLimit = 0;
     Instant deadline;
@@ -58,10 +61,12 @@
         /// Silence of a target after which a request it has is lost.
         Duration targetSilence = std::chrono::seconds(5);
         unsigned maxAttempts = 8;
+        /// This router's incarnation, named in claims.
+        std::string incarnation;
     };
 
     RequestDriver(
-        BudgetService &budgets, Sponsorship &sponsors, TargetTable &targets, std::mutex &routingMutex, Metrics &metrics, Options options);
+        BudgetService &budgets, Sponsorship &sponsors, ClaimService &claims, TargetTable &targets, std::mutex &routingMutex, Metrics &metrics, Options options);
 
     /// The link to send on; set before the first request.
     void setLink(LinkHub *link);
@@ -92,6 +97,9 @@
     using Mailboxes = oneapi::tbb::concurrent_hash_map<std::string, std::shared_ptr<AnswerMailbox>>;
 
     asio::awaitable<absl::Status> reserve(Journey &journey);
+    asio::awaitable<bool> claim(Journey &journey);
+    asio::awaitable<void> answerFromClaim(Journey &journey, Claim standing);
+    asio::awaitable<void> closeClaim(Journey &journey);
     asio::awaitable<void> travel(Journey &journey);
     asio::awaitable<bool> openAttempt(Journey &journey);
     asio::awaitable<CourseStep> takeFrames(Journey &journey);
@@ -109,6 +117,7 @@
 
     BudgetService &m_budgets;
     Sponsorship &m_sponsors;
+    ClaimService &m_claims;
     TargetTable &m_targets;
     std::mutex &m_routingMutex;
     Metrics &m_metrics;
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -69,8 +69,9 @@
                      return helpers();
                  },
                  {})
+    , m_claims(pool.mainLoop().get_executor(), m_platform, {})
     , m_targets({})
-    , m_driver(m_budgets, m_sponsors, m_targets, m_routingMutex, m_metrics, {})
+    , m_driver(m_budgets, m_sponsors, m_claims, m_targets, m_routingMutex, m_metrics, {.incarnation = m_identity.incarnation})
     , m_callers(m_driver,
                 [this] {
                     return configuration();
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -69,6 +69,7 @@
     PlatformClient m_platform;
     BudgetService m_budgets;
     Sponsorship m_sponsors;
+    ClaimService m_claims;
     std::mutex m_routingMutex;
     TargetTable m_targets;
     RequestDriver m_driver;
--- /dev/null
+++ b/src/measure/capacity.cpp
@@ -0,0 +1,311 @@
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <malloc.h>
+
+#include <boost/json/serialize.hpp>
+
+#include "budget/budgetrows.h"
+#include "budget/nodeledger.h"
+#include "configuration/configuration.h"
+#include "engine/runtable.h"
+#include "inventory/teamkey.h"
+#include "link/link.pb.h"
+#include "membership/peerdirectory.h"
+#include "platform/memorytable.h"
+#include "routing/targettable.h"
+
+namespace {
+
+using namespace bamboohold;
+
+constexpr Instant s_now{std::chrono::hours(1)};
+constexpr int s_repeats = 5;
+
+/// One measured point of a slope.
+struct Point {
+    double size = 0;
+    double value = 0;
+};
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+/// Shortest of several runs, in microseconds.
+double microseconds(const std::function<void()> &act)
+{
+    double best = INFINITY;
+    for (int repeat = 0; repeat < s_repeats; ++repeat) {
+        const auto begin = std::chrono::steady_clock::now();
+        act();
+        best = std::min(best, std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count());
+    }
+    return best;
+}
+
+/// Prints a slope: least squares through the points, and the largest distance of a point from the line as a share of the largest value.
+void print(const std::string &name, const std::string &grows, const std::string &unit, const std::vector<Point> &points)
+{
+    double sumX = 0;
+    double sumY = 0;
+    double sumXX = 0;
+    double sumXY = 0;
+    double highest = 0;
+    for (const Point &point : points) {
+        sumX += point.size;
+        sumY += point.value;
+        sumXX += point.size * point.size;
+        sumXY += point.size * point.value;
+        highest = std::max(highest, std::abs(point.value));
+    }
+    const auto count = static_cast<double>(points.size());
+    const double slope = (count * sumXY - sumX * sumY) / (count * sumXX - sumX * sumX);
+    const double intercept = (sumY - slope * sumX) / count;
+    double error = 0;
+    boost::json::array list;
+    for (const Point &point : points) {
+        error = std::max(error, std::abs(point.value - (intercept + slope * point.size)) / std::max(highest, 1e-12));
+        list.emplace_back(boost::json::array{point.size, point.value});
+    }
+    const boost::json::object line{{"slope_of", name},
+                                   {"grows", grows},
+                                   {"unit", unit},
+                                   {"from", points.front().size},
+                                   {"to", points.back().size},
+                                   {"slope", slope},
+                                   {"intercept", intercept},
+                                   {"fit_error", error},
+                                   {"measured", true},
+                                   {"points", std::move(list)}};
+    std::cout << boost::json::serialize(line) << std::endl;
+}
+
+std::string numbered(const char *prefix, int number)
+{
+    return std::string(prefix) + std::to_string(number);
+}
+
+std::unique_ptr<NodeLedger> ledgerWith(int budgets, MemoryTable &table)
+{
+    auto ledger = std::make_unique<NodeLedger>(NodeLedger::Options{.identity = {.incarnation = "router~0123456789abcdef", .host = "host"}});
+    const auto plan = ledger->planFlush({}, {}, s_now);
+    (void)ledger->flushAnswered(*table.transact(plan->transaction), s_now);
+    for (int index = 0; index < budgets; ++index) {
+        ledger->account(numbered("budget-of-team-", index))
+            .confirm({.budget = numbered("budget-of-team-", index), .draw = 1'000'000}, s_now);
+    }
+    return ledger;
+}
+
+void measureLedger()
+{
+    std::vector<Point> bytes;
+    std::vector<Point> planning;
+    for (const int budgets : {1000, 5000, 10'000, 20'000, 40'000}) {
+        MemoryTable table;
+        const double before = heapBytes();
+        const auto ledger = ledgerWith(budgets, table);
+        bytes.push_back({static_cast<double>(budgets), heapBytes() - before});
+        planning.push_back({static_cast<double>(budgets), microseconds([&] {
+                                (void)ledger->urgent(s_now);
+                                (void)ledger->budgetsToRead({.routers = 330}, s_now);
+                            })});
+    }
+    print("router memory", "budgets held", "bytes", bytes);
+    print("router time for one look over all accounts", "budgets held", "microseconds", planning);
+}
+
+void measureFlush()
+{
+    std::vector<Point> bytes;
+    std::vector<Point> time;
+    for (const int budgets : {1, 4, 8, 16, 24}) {
+        MemoryTable table;
+        const auto ledger = ledgerWith(budgets, table);
+        for (int index = 0; index < budgets; ++index) {
+            const std::string budget = numbered("budget-of-team-", index);
+            const std::string request = numbered("0123456789abcdef0123456789abcde", index);
+            ledger->account(budget).reserve(request, 100, {}, s_now);
+            const Tokens charged = ledger->account(budget).settle(request, 60, s_now);
+            ledger->addCharge({.requestId = request, .team = budget, .budget = budget, .target = "target-17", .tokens = charged});
+        }
+        std::optional<FlushPlan> plan;
+        const double planned = microseconds([&] {
+            plan = ledger->planFlush({}, {}, s_now);
+            ledger->flushLost();
+        });
+        const std::string body = boost::json::serialize(toJson(plan->transaction));
+        bytes.push_back({static_cast<double>(budgets), static_cast<double>(body.size() + plan->object.size())});
+        time.push_back({static_cast<double>(budgets), planned + microseconds([&] {
+                                                          (void)boost::json::serialize(toJson(plan->transaction));
+                                                      })});
+    }
+    print("flush size", "budgets touched in a flush", "bytes", bytes);
+    print("flush time", "budgets touched in a flush", "microseconds", time);
+}
+
+void measureTargets()
+{
+    std::vector<Point> bytes;
+    std::vector<Point> choosing;
+    for (const int targets : {50, 100, 200, 400, 870}) {
+        const double before = heapBytes();
+        auto table = std::make_unique<TargetTable>(TargetTable::Options{});
+        std::vector<TargetPlace> places;
+        for (int index = 0; index < targets; ++index) {
+            places.push_back({.name = numbered("target-", index), .model = numbered("model-", index % 21), .slots = 32});
+        }
+        table->setPlaces(std::move(places));
+        for (int index = 0; index < targets; ++index) {
+            table->reported(numbered("target-", index), {.incarnation = numbered("target-0123456789abcdef-", index), .slots = 32}, s_now);
+        }
+        bytes.push_back({static_cast<double>(targets), heapBytes() - before});
+        choosing.push_back({static_cast<double>(targets), microseconds([&] {
+                                (void)table->choose({.model = "model-7"}, s_now);
+                            })});
+    }
+    print("router memory", "targets", "bytes", bytes);
+    print("router time for one choice", "targets", "microseconds", choosing);
+}
+
+void measureTeams()
+{
+    std::vector<Point> bytes;
+    std::vector<Point> reading;
+    std::vector<Point> document;
+    std::vector<Point> authenticating;
+    for (const int teams : {500, 1000, 2000, 4000, 12'000}) {
+        Inventory inventory{.name = "site"};
+        std::string key;
+        for (int index = 0; index < teams; ++index) {
+            inventory.budgets.push_back({.name = numbered("budget-of-team-", index), .prepaid = 1'000'000});
+            inventory.teams.push_back({.name = numbered("team-", index), .budget = numbered("budget-of-team-", index)});
+            key = issueKey(inventory.teams.back());
+        }
+        const std::string text = writeInventory(inventory);
+        document.push_back({static_cast<double>(teams), static_cast<double>(text.size())});
+        reading.push_back({static_cast<double>(teams), microseconds([&] {
+                               (void)readInventory(text);
+                           })});
+        const double before = heapBytes();
+        const auto configuration = std::make_unique<Configuration>(1, *readInventory(text).inventory);
+        bytes.push_back({static_cast<double>(teams), heapBytes() - before});
+        authenticating.push_back({static_cast<double>(teams), microseconds([&] {
+                                      (void)configuration->authenticate(key);
+                                  })});
+    }
+    print("configuration document", "teams with a budget each", "bytes", document);
+    print("time to read a configuration", "teams with a budget each", "microseconds", reading);
+    print("configuration memory", "teams with a budget each", "bytes", bytes);
+    print("time to authenticate", "teams with a budget each", "microseconds", authenticating);
+}
+
+void measurePeers()
+{
+    std::vector<Point> bytes;
+    std::vector<Point> looking;
+    std::vector<Point> scan;
+    for (const int routers : {10, 50, 100, 200, 330}) {
+        std::vector<TableRow> rows;
+        for (int index = 0; index < routers; ++index) {
+            boost::json::object fields{
+                {"state", "live"}, {"flush", "123456"}, {"host", numbered("entry-", index)}, {"address", "127.20.1.1:7400"}};
+            fields["ledger"] = numbered("ledger/router-0123456789abcdef-/", index);
+            rows.push_back({.key = numbered("node/router-0123456789abcdef-", index), .version = 7, .fields = std::move(fields)});
+        }
+        const double before = heapBytes();
+        auto directory = std::make_unique<PeerDirectory>(PeerDirectory::Options{.self = "node/router-0123456789abcdef-0"});
+        directory->rowsRead(rows, s_now);
+        bytes.push_back({static_cast<double>(routers), heapBytes() - before});
+        looking.push_back({static_cast<double>(routers), microseconds([&] {
+                               directory->rowsRead(rows, s_now);
+                               (void)directory->suspects(s_now);
+                           })});
+        double size = 0;
+        for (const TableRow &row : rows) {
+            size += static_cast<double>(boost::json::serialize(toJson(row)).size());
+        }
+        scan.push_back({static_cast<double>(routers), size});
+    }
+    print("peer directory memory", "routers", "bytes", bytes);
+    print("time for one look at the peers", "routers", "microseconds", looking);
+    print("scan of all node rows", "routers", "bytes", scan);
+}
+
+void measureRuns()
+{
+    std::vector<Point> bytes;
+    std::vector<Point> sealing;
+    for (const int runs : {100, 500, 1000, 2000, 5000}) {
+        const double before = heapBytes();
+        auto table = std::make_unique<RunTable>(RunTable::Options{.incarnation = "target~1", .limit = UINT32_MAX});
+        table->begin({}, {});
+        for (int index = 0; index < runs; ++index) {
+            (void)table->admit({.requestId = numbered("0123456789abcdef0123456789abcde", index),
+                                .router = numbered("router-0123456789abcdef-", index % 330),
+                                .targetIncarnation = "target~1",
+                                .team = "team-17",
+                                .budget = "budget-of-team-17",
+                                .bound = 1000,
+                                .expiresIn = std::chrono::seconds(1)},
+                               s_now);
+        }
+        bytes.push_back({static_cast<double>(runs), heapBytes() - before});
+        sealing.push_back({static_cast<double>(runs), microseconds([&] {
+                               (void)table->seal("router-0123456789abcdef-7");
+                           })});
+    }
+    print("sidecar memory", "runs not known to be billed", "bytes", bytes);
+    print("sidecar time to answer a seal", "runs not known to be billed", "microseconds", sealing);
+}
+
+void printSize(const char *name, const wire::Envelope &envelope)
+{
+    const boost::json::object line{{"message", name}, {"bytes", static_cast<std::int64_t>(envelope.ByteSizeLong())}, {"measured", true}};
+    std::cout << boost::json::serialize(line) << std::endl;
+}
+
+void measureMessages()
+{
+    wire::Envelope report;
+    report.mutable_report()->set_target("target-417");
+    report.mutable_report()->set_incarnation("target-417~0123456789abcdef");
+    report.mutable_report()->set_running(17);
+    report.mutable_report()->set_slots(32);
+    report.mutable_report()->set_engine_reachable(true);
+    printSize("report of a sidecar to a router", report);
+    wire::Envelope heartbeat;
+    heartbeat.mutable_heartbeat()->set_host("entry-117");
+    heartbeat.mutable_heartbeat()->set_settled_before_incarnation("target-417~0123456789abcdef");
+    printSize("heartbeat of a router", heartbeat);
+    wire::Envelope recall;
+    recall.mutable_recall()->set_budget("budget-of-team-117");
+    recall.mutable_recall()->set_need(4000);
+    printSize("recall of a router to a router", recall);
+    wire::Envelope settled;
+    settled.mutable_settled()->add_request_ids("0123456789abcdef0123456789abcdef");
+    printSize("settled, one request", settled);
+}
+
+}
+
+/// Measures how the decision objects grow, one thing at a time, and prints a JSON line for each slope.
+int main()
+{
+    measureLedger();
+    measureFlush();
+    measureTargets();
+    measureTeams();
+    measurePeers();
+    measureRuns();
+    measureMessages();
+    return 0;
+}
--- a/src/measure/load.cpp
+++ b/src/measure/load.cpp
@@ -46,7 +46,8 @@
 
 std::string requestBody(int index)
 {
-    boost::json::object body{{"model", FLAGS_model}, {"prompt", std::string(static_cast<std::size_t>(FLAGS_prompt_bytes), 'p') + std::to_string(index)}};
+    boost::json::object body{{"model", FLAGS_model},
+                             {"prompt", std::string(static_cast<std::size_t>(FLAGS_prompt_bytes), 'p') + std::to_string(index)}};
     body["max_tokens"] = FLAGS_max_tokens;
     body["min_tokens"] = FLAGS_max_tokens;
     body["stream"] = FLAGS_stream;
@@ -109,7 +110,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const std::size_t colon = FLAGS_url.find(':');
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(FLAGS_url.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(FLAGS_url.substr(colon + 1))));
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(FLAGS_url.substr(0, colon)),
+                                           static_cast<std::uint16_t>(std::stoi(FLAGS_url.substr(colon + 1))));
     WorkerPool pool(FLAGS_workers);
     std::atomic<int> next = 0;
     std::atomic<int> open = FLAGS_connections;
--- a/src/request/requestcourse.cpp
+++ b/src/request/requestcourse.cpp
@@ -119,6 +119,11 @@
         {.kind = why, .detail = "contact with the target was lost while it had the request", .ran = ran, .retryAfterMs = s_retryLostMs});
 }
 
+CourseStep RequestCourse::onStanding(Failure failure)
+{
+    return finish(Outcome::Unknown, std::move(failure));
+}
+
 CourseStep RequestCourse::onNoTarget(const Failure &failure)
 {
     return finish(Outcome::NotRun, failure);
--- a/src/request/requestcourse.h
+++ b/src/request/requestcourse.h
@@ -99,6 +99,9 @@
     /// No target could be asked.
     CourseStep onNoTarget(const Failure &failure);
 
+    /// An earlier request under the same idempotency key stands in the way; whatever became of it, this one is not run.
+    CourseStep onStanding(Failure failure);
+
     /// The outcome; valid after Finish.
     Outcome outcome() const
     {
--- /dev/null
+++ b/src/tests/claimbatchtest.cpp
@@ -0,0 +1,82 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/memorytable.h"
+#include "request/claimbatch.h"
+
+using namespace bamboohold;
+
+BOOST_AUTO_TEST_SUITE(ClaimBatchTest)
+
+namespace {
+
+Claim claim(const char *key, const char *request)
+{
+    return {.key = claimKey("team", key), .requestId = request, .router = "router~1"};
+}
+
+}
+
+// A registry submission would be filed twice. Order: the caller's first try is claimed at one router, its retry reaches another in the same
+// moment as other callers' requests. The retry must see the first claim; the others must not be held up by it.
+BOOST_AUTO_TEST_CASE(oneTakenClaimDoesNotFailTheOthers)
+{
+    MemoryTable table;
+    ClaimBatch first;
+    first.add(claim("a", "r1"), std::nullopt, false);
+    first.answered(*table.transact(first.transaction()));
+    BOOST_TEST(first.result(0)->taken);
+    ClaimBatch second;
+    second.add(claim("b", "r2"), std::nullopt, false);
+    second.add(claim("a", "r3"), std::nullopt, false);
+    second.answered(*table.transact(second.transaction()));
+    BOOST_TEST(!second.done());
+    second.answered(*table.transact(second.transaction()));
+    BOOST_TEST(second.done());
+    BOOST_TEST(second.result(0)->taken);
+    BOOST_TEST(!second.result(1)->taken);
+    BOOST_TEST(second.result(1)->standing.requestId == "r1");
+}
+
+// A caller would be told that somebody else runs its request when its own claim took effect and only the answer was lost.
+BOOST_AUTO_TEST_CASE(ownEarlierTryIsRecognised)
+{
+    MemoryTable table;
+    ClaimBatch batch;
+    batch.add(claim("a", "r1"), std::nullopt, false);
+    (void)table.transact(batch.transaction());
+    batch.answered(*table.transact(batch.transaction()));
+    BOOST_TEST(batch.result(0)->taken);
+    ClaimBatch removal;
+    removal.add(claim("a", "r1"), batch.result(0)->version, true);
+    (void)table.transact(removal.transaction());
+    removal.answered(*table.transact(removal.transaction()));
+    BOOST_TEST(removal.result(0)->taken);
+    BOOST_TEST((*table.read(claimKey("team", "a"))).version == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aFinishedClaimKeepsItsResult)
+{
+    MemoryTable table;
+    ClaimBatch batch;
+    batch.add(claim("a", "r1"), std::nullopt, false);
+    batch.answered(*table.transact(batch.transaction()));
+    Claim done = claim("a", "r1");
+    done.state = Claim::State::Done;
+    done.outcome = "answered";
+    done.status = 201;
+    ClaimBatch finish;
+    finish.add(done, batch.result(0)->version, false);
+    finish.answered(*table.transact(finish.transaction()));
+    BOOST_TEST(finish.result(0)->taken);
+    const Claim read = claimFromRow(*table.read(done.key));
+    BOOST_TEST((read.state == Claim::State::Done));
+    BOOST_TEST(read.status == 201);
+}
+
+BOOST_AUTO_TEST_CASE(keysCannotReachAnotherTeam)
+{
+    BOOST_TEST(claimKey("a", "b/c") != claimKey("a/b", "c"));
+    BOOST_TEST(claimKey("a", "x").starts_with("claim/a/"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
