--- a/src/caller/callerapi.cpp
+++ b/src/caller/callerapi.cpp
@@ -42,13 +42,14 @@
 {
     const ConfigurationPointer configuration = m_configuration();
     if (configuration == nullptr) {
-        co_await refuse(exchange,
-                        {.kind = FailureKind::NoTarget, .detail = "no configuration is in force yet", .retryAfterMs = s_retryDrainingMs});
+        const Failure failure{
+            .kind = FailureKind::NoTarget, .detail = "no configuration is in force yet", .retryAfterMs = s_retryDrainingMs};
+        co_await refuse(exchange, failure);
         co_return;
     }
     if (m_draining) {
-        co_await refuse(exchange,
-                        {.kind = FailureKind::Draining, .detail = "this router is shutting down", .retryAfterMs = s_retryDrainingMs});
+        const Failure failure{.kind = FailureKind::Draining, .detail = "this router is shutting down", .retryAfterMs = s_retryDrainingMs};
+        co_await refuse(exchange, failure);
         exchange.cut();
         co_return;
     }
--- a/src/caller/requestdriver.cpp
+++ b/src/caller/requestdriver.cpp
@@ -54,8 +54,13 @@
     bool callerDone = false;
 };
 
-RequestDriver::RequestDriver(
-    BudgetService &budgets, Sponsorship &sponsors, ClaimService &claims, TargetTable &targets, std::mutex &routingMutex, Metrics &metrics, Options options)
+RequestDriver::RequestDriver(BudgetService &budgets,
+                             Sponsorship &sponsors,
+                             ClaimService &claims,
+                             TargetTable &targets,
+                             std::mutex &routingMutex,
+                             Metrics &metrics,
+                             Options options)
     : m_budgets(budgets)
     , m_sponsors(sponsors)
     , m_claims(claims)
@@ -136,7 +141,9 @@
 
 asio::awaitable<bool> RequestDriver::claim(Journey &journey)
 {
-    Claim wanted{.key = claimKey(journey.request.team, journey.request.idempotencyKey), .requestId = journey.request.requestId, .router = m_options.incarnation};
+    Claim wanted{.key = claimKey(journey.request.team, journey.request.idempotencyKey),
+                 .requestId = journey.request.requestId,
+                 .router = m_options.incarnation};
     const auto result = co_await m_claims.take(wanted);
     if (!result.ok()) {
         journey.course.onNoTarget(toFailure(result.status()));
@@ -156,7 +163,8 @@
 asio::awaitable<void> RequestDriver::answerFromClaim(Journey &journey, Claim standing)
 {
     Failure failure{.kind = FailureKind::AlreadyRunning, .ran = Ran::Unknown, .retryAfterMs = s_retryClaimedMs};
-    failure.detail = absl::StrCat("request ", standing.requestId, " with this idempotency key is under way or was lost; it is not run again");
+    failure.detail =
+        absl::StrCat("request ", standing.requestId, " with this idempotency key is under way or was lost; it is not run again");
     if (standing.state == Claim::State::Done && standing.outcome == outcomeName(Outcome::Answered)) {
         const auto body = co_await m_claims.result(standing.resultObject);
         if (body.ok()) {
@@ -169,7 +177,8 @@
     } else if (standing.state == Claim::State::Done) {
         const bool ran = standing.outcome == outcomeName(Outcome::FailedAfterRunning);
         failure = Failure{.kind = FailureKind::EngineFailed, .ran = ran ? Ran::Yes : Ran::Unknown};
-        failure.detail = absl::StrCat("request ", standing.requestId, " with this idempotency key ended as ", standing.outcome, "; it is not run again");
+        failure.detail =
+            absl::StrCat("request ", standing.requestId, " with this idempotency key ended as ", standing.outcome, "; it is not run again");
     }
     journey.course.onStanding(std::move(failure));
     if (!journey.callerDone) {
--- a/src/caller/requestdriver.h
+++ b/src/caller/requestdriver.h
@@ -65,8 +65,13 @@
         std::string incarnation;
     };
 
-    RequestDriver(
-        BudgetService &budgets, Sponsorship &sponsors, ClaimService &claims, TargetTable &targets, std::mutex &routingMutex, Metrics &metrics, Options options);
+    RequestDriver(BudgetService &budgets,
+                  Sponsorship &sponsors,
+                  ClaimService &claims,
+                  TargetTable &targets,
+                  std::mutex &routingMutex,
+                  Metrics &metrics,
+                  Options options);
 
     /// The link to send on; set before the first request.
     void setLink(LinkHub *link);
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -490,8 +490,7 @@
         co_await exchange.respond(200, "application/json", statusJson());
         co_return;
     }
-    co_await exchange.respond(
-        404, "application/json", errorBody({.kind = FailureKind::NotFound, .detail = std::string(exchange.path())}, ""));
+    co_await respondFailure(exchange, FailureKind::NotFound, exchange.path());
 }
 
 }
--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -489,7 +489,7 @@
     } else if (path == "/status") {
         co_await exchange.respond(200, "application/json", status);
     } else {
-        co_await exchange.respond(404, "application/json", errorBody({.kind = FailureKind::NotFound, .detail = std::string(path)}, ""));
+        co_await respondFailure(exchange, FailureKind::NotFound, path);
     }
 }
 
--- a/src/link/linkhub.cpp
+++ b/src/link/linkhub.cpp
@@ -14,8 +14,7 @@
 
 namespace {
 
-constexpr int s_heartbeatMs = 1000;
-constexpr int s_heartbeatTimeoutMs = 4000;
+constexpr int s_unacknowledgedMs = 4000;
 constexpr int s_reconnectMs = 50;
 constexpr int s_reconnectMaxMs = 1000;
 /// Messages taken in one go before queued orders get their turn.
@@ -66,8 +65,9 @@
     // Without it a message to a peer that is gone vanishes unseen; with it the send fails and is counted.
     m_socket.set(zmq::sockopt::router_mandatory, true);
     m_socket.set(zmq::sockopt::router_handover, true);
-    m_socket.set(zmq::sockopt::heartbeat_ivl, s_heartbeatMs);
-    m_socket.set(zmq::sockopt::heartbeat_timeout, s_heartbeatTimeoutMs);
+    // A peer whose host vanished closes nothing. ZeroMQ's own heartbeats would find out too, but libzmq 4.3.4 aborts (!_io_error) when one
+    // fires on a connection that has just failed, so TCP does it: unacknowledged data for this long ends the connection.
+    m_socket.set(zmq::sockopt::tcp_maxrt, s_unacknowledgedMs);
     m_socket.set(zmq::sockopt::reconnect_ivl, s_reconnectMs);
     m_socket.set(zmq::sockopt::reconnect_ivl_max, s_reconnectMaxMs);
     try {
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -256,6 +256,13 @@
     return boost::json::serialize(boost::json::object{{"error", std::move(error)}});
 }
 
+asio::awaitable<void> respondFailure(HttpExchange &exchange, FailureKind kind, std::string_view detail)
+{
+    const Failure failure{.kind = kind, .detail = std::string(detail)};
+    std::string body = errorBody(failure, "");
+    co_await exchange.respond(httpStatus(kind), "application/json", std::move(body));
+}
+
 void appendRetryAfter(std::vector<HttpHeader> &headers, const Failure &failure)
 {
     if (failure.retryAfterMs) {
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -142,6 +142,9 @@
 /// The JSON error body that every HTTP interface of the fleet uses.
 std::string errorBody(const Failure &failure, std::string_view requestId);
 
+/// Answers with a failure that has no more to it than its kind and detail.
+asio::awaitable<void> respondFailure(HttpExchange &exchange, FailureKind kind, std::string_view detail);
+
 /// Adds the standard header that tells a caller when to come back, if the failure knows.
 void appendRetryAfter(std::vector<HttpHeader> &headers, const Failure &failure);
 
--- a/src/platform/platformclient.h
+++ b/src/platform/platformclient.h
@@ -12,7 +12,8 @@
 
 namespace bamboohold {
 
-/// Calls the platform's table, object store and host list over HTTP. Bound to one event loop.
+/// Calls the platform's table, object store and host list over HTTP. Bound to one event loop: whoever runs on another one spawns the call
+/// there.
 class PlatformClient
 {
 public:
--- a/src/request/claimservice.cpp
+++ b/src/request/claimservice.cpp
@@ -53,13 +53,15 @@
     own->claim = std::move(claim);
     own->version = version;
     own->remove = remove;
+    bool startSending = false;
     {
         const std::lock_guard lock(m_mutex);
         m_waiting.push_back(own);
-        if (!m_sending) {
-            m_sending = true;
-            asio::co_spawn(m_loop, send(), asio::detached);
-        }
+        startSending = !std::exchange(m_sending, true);
+    }
+    // Outside the lock: on its own loop a new coroutine runs at once, up to its first wait, and takes the lock itself.
+    if (startSending) {
+        asio::co_spawn(m_loop, send(), asio::detached);
     }
     co_await own->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     co_return own->result;
@@ -138,7 +140,9 @@
 asio::awaitable<absl::Status> ClaimService::finish(Claim claim, std::string body)
 {
     if (!claim.resultObject.empty()) {
-        const absl::Status stored = co_await m_platform.putObject(claim.resultObject, std::move(body));
+        // The platform's client lives on its own loop; a call from the request's loop would use its connections from two threads.
+        auto storing = m_platform.putObject(claim.resultObject, std::move(body));
+        const absl::Status stored = co_await asio::co_spawn(m_loop, std::move(storing), asio::use_awaitable);
         if (!stored.ok()) {
             co_return stored;
         }
@@ -159,7 +163,9 @@
 
 asio::awaitable<absl::StatusOr<std::string>> ClaimService::result(std::string object)
 {
-    co_return co_await m_platform.readObject(std::move(object));
+    auto reading = m_platform.readObject(std::move(object));
+    auto body = co_await asio::co_spawn(m_loop, std::move(reading), asio::use_awaitable);
+    co_return body;
 }
 
 }
--- a/src/standin/engineserver.cpp
+++ b/src/standin/engineserver.cpp
@@ -251,8 +251,7 @@
     boost::json::error_code error;
     const boost::json::value body = boost::json::parse(exchange.request().body(), error);
     if (error || !body.is_object()) {
-        co_await exchange.respond(
-            400, "application/json", errorBody({.kind = FailureKind::InvalidRequest, .detail = "the body must be a JSON object"}, ""));
+        co_await respondFailure(exchange, FailureKind::InvalidRequest, "the body must be a JSON object");
         co_return;
     }
     const boost::json::object &object = body.get_object();
@@ -331,8 +330,7 @@
         }
     }
     if (!taken) {
-        co_await exchange.respond(
-            409, "application/json", errorBody({.kind = FailureKind::Fenced, .detail = "the order's fencing number is old"}, ""));
+        co_await respondFailure(exchange, FailureKind::Fenced, "the order's fencing number is old");
         co_return;
     }
     co_await exchange.respond(200, "application/json", "{\"accepted\":true}");
@@ -402,7 +400,7 @@
                                   "application/json",
                                   absl::StrCat("{\"object\":\"list\",\"data\":[{\"id\":\"", m_options.model, "\",\"object\":\"model\"}]}"));
     } else {
-        co_await exchange.respond(404, "application/json", errorBody({.kind = FailureKind::NotFound, .detail = std::string(path)}, ""));
+        co_await respondFailure(exchange, FailureKind::NotFound, path);
     }
 }
 
