A lost last frame no longer holds a request for ever

Cause: the live trial routers_paused: a router woken after seven seconds did not end within 30 s. Frames sent to it while its connection was broken are gone, their targets are alive, so silence never ended the request, and after its deadline it waited for a cancellation's end that had already been sent once. Ruled out: the claims and the drain loop, which only waited for these requests.

Change: a sidecar repeats the end of a run that is over when it is cancelled again; the router takes its charge, not its answer; ten seconds after a cancellation without an end the run counts as lost.

Before: routers_paused did not come to its end.

--- /dev/null
+++ b/scripts/check-live.py
@@ -0,0 +1,37 @@
+"""Checks on running processes: the whole path, and what must never happen under a few faults. No verdict depends on how fast anything is."""
+
+import json
+import sys
+
+import fleetlib
+import livetrial
+import measurebudgets
+import measurerequests
+import quickstart
+
+TRIALS = (measurebudgets.answers_lost, measurebudgets.router_killed, measurerequests.routers_drain)
+
+
+def main():
+    results = {"quickstart": quickstart.main() == 0}
+    for bring_about in TRIALS:
+        inventory, plentiful = livetrial.himal(measurebudgets.SMALL_BUDGET)
+        trial = livetrial.Trial(inventory, router_flags=measurebudgets.FAST_RECOVERY)
+        try:
+            trial.call(2)
+            bring_about(trial)
+            report = trial.report(bring_about.__name__, plentiful)
+            stopped = [entry["name"] for entry in trial.fleet["routers"] + trial.fleet["sidecars"] if not fleetlib.alive(entry["pid"])]
+        finally:
+            trial.close()
+        results[bring_about.__name__] = livetrial.is_clean(report) and not stopped and report["answered"] > 0
+        print(json.dumps({**report, "stopped_by_themselves": stopped}))
+    failed = [name for name, passed in results.items() if not passed]
+    for name in failed:
+        print(f"FAILED: {name}")
+    print(f"{len(results) - len(failed)} passed, {len(failed)} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/caller/requestdriver.cpp
+++ b/src/caller/requestdriver.cpp
@@ -50,6 +50,7 @@
     std::optional<Claim> claim;
     bool streaming = false;
     bool cancelSent = false;
+    Instant cancelSentAt{};
     /// The caller has its final answer, or hung up; only the settlement is still to come.
     bool callerDone = false;
 };
@@ -332,6 +333,7 @@
     }
     // The run goes on until the engine confirms the cancellation: only then is it known what to charge. The caller need not wait for that.
     journey.cancelSent = true;
+    journey.cancelSentAt = steadyNow();
     sendCancel(journey);
     if (!hungUp) {
         const Ran ran = journey.course.begun() ? Ran::Yes : Ran::Unknown;
@@ -343,6 +345,11 @@
 
 CourseStep RequestDriver::onSilence(Journey &journey)
 {
+    // A frame lost on a broken connection is not sent again by itself; without this bound its request would wait for ever and keep a drain
+    // from ending.
+    if (journey.cancelSent && steadyNow() - journey.cancelSentAt >= m_options.cancelPatience) {
+        return journey.course.onLost(FailureKind::TargetLost);
+    }
     std::string heard;
     {
         const std::lock_guard lock(m_routingMutex);
--- a/src/caller/requestdriver.h
+++ b/src/caller/requestdriver.h
@@ -60,6 +60,8 @@
         Duration queuePatience = std::chrono::seconds(10);
         /// Silence of a target after which a request it has is lost.
         Duration targetSilence = std::chrono::seconds(5);
+        /// Time that a target has to confirm a cancellation before its run counts as lost.
+        Duration cancelPatience = std::chrono::seconds(10);
         unsigned maxAttempts = 8;
         /// This router's incarnation, named in claims.
         std::string incarnation;
--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -29,6 +29,7 @@
 /// A router that gives no credit for this long no longer reads; its run is cancelled.
 constexpr Duration s_creditPatience = std::chrono::seconds(30);
 constexpr Duration s_drainPoll = std::chrono::milliseconds(20);
+constexpr std::uint64_t s_repeatedEndSequence = UINT64_MAX;
 constexpr std::uint64_t s_windowBytes = 256 * 1024;
 
 asio::awaitable<void> pause(Duration duration)
@@ -159,6 +160,9 @@
         const std::uint64_t bytes = cancel ? 0 : message.credit().bytes();
         const std::lock_guard lock(m_mutex);
         const auto found = m_live.find(requestId);
+        if (found == m_live.end() && cancel) {
+            repeatEnd(peer, requestId);
+        }
         if (found != m_live.end()) {
             asio::post(found->second->executor, [this, run = found->second, cancel, bytes] {
                 run->creditBytes += bytes;
@@ -192,6 +196,21 @@
     }
 }
 
+void Sidecar::repeatEnd(std::string_view peer, const std::string &requestId)
+{
+    const RunRecord *record = m_table.find(requestId);
+    if (record == nullptr || record->running) {
+        return;
+    }
+    // A router that still waits for a run which is over has lost its last frame, for example while it was paused. Far behind any frame of
+    // the answer, this end closes the request without passing for the rest of it.
+    AnswerFrame frame{.attempt = record->attempt, .sequence = s_repeatedEndSequence};
+    frame.content = AnswerFrame::End{.end = record->end, .usage = record->usage, .charged = record->charged};
+    wire::Envelope envelope;
+    *envelope.mutable_frame() = toWire(requestId, frame);
+    m_link->send(peer, envelope);
+}
+
 void Sidecar::refuse(std::string_view peer, const wire::Dispatch &dispatch, RunRefusal reason)
 {
     wire::Envelope envelope;
--- a/src/engine/sidecar.h
+++ b/src/engine/sidecar.h
@@ -43,6 +43,7 @@
     void onSeal(std::string_view peer, const wire::Seal &seal);
     void sendFrame(const LiveRun &run, AnswerFrame frame);
     void tellPayer(const LiveRun &run, const AnswerFrame::End &end);
+    void repeatEnd(std::string_view peer, const std::string &requestId);
     void refuse(std::string_view peer, const wire::Dispatch &dispatch, RunRefusal reason);
 
     asio::awaitable<void> execute(std::shared_ptr<LiveRun> run);
--- a/src/membership/reclamation.cpp
+++ b/src/membership/reclamation.cpp
@@ -79,6 +79,26 @@
     }
 }
 
+std::vector<Charge> Reclamation::freeCharges() const
+{
+    absl::flat_hash_set<std::string> budgets;
+    std::vector<Charge> charges;
+    for (const WitnessedRun &run : m_runs) {
+        budgets.insert(run.record.budget);
+    }
+    for (const std::string &budget : budgets) {
+        const bool granted = std::any_of(m_grants.begin(), m_grants.end(), [&budget](const TableRow &grant) {
+            return textField(grant.fields, "budget") == budget;
+        });
+        for (Charge &charge : chargesFor(budget)) {
+            if (!granted && charge.tokens == 0) {
+                charges.push_back(std::move(charge));
+            }
+        }
+    }
+    return charges;
+}
+
 boost::json::object Reclamation::nodeFields(std::string_view state, const std::string &ledger) const
 {
     boost::json::object fields = m_nodeRow.fields;
@@ -182,6 +202,13 @@
         operations.push_back(addToField(key, "consumed", charged, 0));
         operations.push_back({.kind = TableOperation::Kind::Remove, .key = grant.key, .expectedVersion = grant.version});
     }
+    const bool last = count == m_grants.size();
+    if (last) {
+        // Calls that cost nothing have no grant to be charged to; they still get their line.
+        for (Charge &charge : freeCharges()) {
+            page.charges.push_back(std::move(charge));
+        }
+    }
     std::string ledger = page.previous;
     if (!page.charges.empty()) {
         // Each step has a page of its own: a reclaimer that dies between two steps leaves no run billed whose tokens have not moved.
@@ -189,7 +216,6 @@
         step.object = writeLedgerPage(page);
         ledger = step.objectKey;
     }
-    const bool last = count == m_grants.size();
     operations.front() = putRow(nodeKey(m_options.incarnation), nodeFields(last ? "closed" : "sealing", ledger), m_nodeRow.version);
     return step;
 }
--- a/src/membership/reclamation.h
+++ b/src/membership/reclamation.h
@@ -112,6 +112,7 @@
     };
 
     std::vector<Charge> chargesFor(std::string_view budget) const;
+    std::vector<Charge> freeCharges() const;
     boost::json::object nodeFields(std::string_view state, const std::string &ledger) const;
 
     Options m_options;
--- a/src/request/requestcourse.cpp
+++ b/src/request/requestcourse.cpp
@@ -52,6 +52,11 @@
     }
     // A gap means that a frame was lost on the way: what follows would be passed off as the whole answer.
     if (frame.sequence > m_nextSequence) {
+        if (const auto *end = std::get_if<AnswerFrame::End>(&frame.content)) {
+            // The answer has a hole, but what the run cost is known.
+            m_usage = end->usage;
+            m_charged = end->charged;
+        }
         return onLost(FailureKind::AnswerIncomplete);
     }
     ++m_nextSequence;
--- a/src/tests/reclamationtest.cpp
+++ b/src/tests/reclamationtest.cpp
@@ -126,6 +126,26 @@
     }
 }
 
+// A call of a plain service costs no tokens, so its router may hold no grant of the team's budget. Its line must not be lost with the
+// router.
+BOOST_AUTO_TEST_CASE(aCallThatCostsNothingStillGetsItsLine)
+{
+    Reclamation reclamation({.incarnation = "router~1", .reclaimer = "router~2", .targets = {"a"}},
+                            {.key = "node/router~1", .version = 3, .fields = {{"state", "live"}}});
+    reclamation.onWitness({.target = "a"});
+    reclamation.probeEnded();
+    reclamation.onDeclared({.applied = true, .versions = {4}});
+    WitnessAnswer answer{.target = "a", .epoch = reclamation.epoch()};
+    answer.verdict.runs.push_back(
+        {.requestId = "call", .budget = "team", .running = false, .end = RunEnd::Complete, .usage = TokenUsage{}});
+    reclamation.onWitness(answer);
+    BOOST_REQUIRE((reclamation.phase() == Reclamation::Phase::Closing));
+    const ClosingStep step = reclamation.nextClosingStep();
+    BOOST_TEST(step.object.find("\"call\"") != std::string::npos);
+    reclamation.onClosed(step, {.applied = true, .versions = {5}});
+    BOOST_TEST((reclamation.phase() == Reclamation::Phase::Closed));
+}
+
 BOOST_AUTO_TEST_CASE(nobodyIsDeclaredDeadByOneWhoCanAskNobody)
 {
     Reclamation reclamation({.incarnation = "router~1", .reclaimer = "router~2", .targets = {"target"}},
--- a/src/tests/requestcoursetest.cpp
+++ b/src/tests/requestcoursetest.cpp
@@ -56,6 +56,13 @@
     BOOST_TEST((missing.outcome() == Outcome::FailedAfterRunning));
     BOOST_TEST((missing.failure().kind == FailureKind::AnswerIncomplete));
 
+    // The end is repeated for a router that was paused: the answer stays incomplete, but the charge is known.
+    RequestCourse repeated = begun();
+    (void)repeated.onFrame(frame(0, AnswerHead{.status = 200}));
+    BOOST_TEST((repeated.onFrame(frame(UINT64_MAX, complete(3))) == CourseStep::Finish));
+    BOOST_TEST((repeated.outcome() == Outcome::FailedAfterRunning));
+    BOOST_TEST(repeated.charged().value() == 7);
+
     RequestCourse abandoned = begun();
     BOOST_TEST((abandoned.onFrame(frame(0, AnswerRefused{.reason = RunRefusal::Full})) == CourseStep::TryElsewhere));
     abandoned.beginAttempt("b");
