--- a/scripts/measurebudgets.py
+++ b/scripts/measurebudgets.py
@@ -76,7 +76,7 @@
 def router_paused(trial):
     time.sleep(2)
     trial.signal("routers", 0, signal.SIGSTOP)
-    time.sleep(9)
+    time.sleep(12)
     trial.signal("routers", 0, signal.SIGCONT)
     # It finds itself declared dead and stops; a supervisor starts it again.
     fleetlib.wait_until(lambda: not trial.running("routers", 0), "the end of the woken router")
--- a/scripts/measurerequests.py
+++ b/scripts/measurerequests.py
@@ -63,7 +63,8 @@
 def routers_paused(trial):
     time.sleep(2)
     trial.signal("routers", 0, signal.SIGSTOP)
-    time.sleep(7)
+    # Longer than silence (3 s), the sidecars' memory of its last word (5 s) and a probe together, so that it is declared dead.
+    time.sleep(12)
     trial.signal("routers", 0, signal.SIGCONT)
     fleetlib.wait_until(lambda: not trial.running("routers", 0), "the end of the woken router")
     trial.restart("routers", 0)
--- a/src/budget/budgetaccount.cpp
+++ b/src/budget/budgetaccount.cpp
@@ -1,12 +1,12 @@
 #include "budget/budgetaccount.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
 #include <utility>
 
-#include <absl/strings/str_cat.h>
-
 namespace bamboohold {
 
 namespace {
--- a/src/budget/budgetaccount.h
+++ b/src/budget/budgetaccount.h
@@ -1,17 +1,17 @@
 #pragma once
 
+#include "budget/demandmeter.h"
+#include "clock/instant.h"
+#include "failure/failure.h"
+
+#include <absl/container/flat_hash_map.h>
+
 #include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-
-#include "budget/demandmeter.h"
-#include "clock/instant.h"
-#include "failure/failure.h"
-
 namespace bamboohold {
 
 /// How a router sizes what it holds of a budget.
--- a/src/budget/budgetrows.h
+++ b/src/budget/budgetrows.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <string>
-#include <string_view>
-
 #include "budget/budgetaccount.h"
 #include "platform/table.h"
 
+#include <string>
+#include <string_view>
+
 /// Keys and fields of the rows in which budgets last. A budget's row always satisfies prepaid == free + granted + consumed; `granted` is
 /// the sum of `unspent` over its grant rows.
 namespace bamboohold {
--- a/src/budget/budgetservice.cpp
+++ b/src/budget/budgetservice.cpp
@@ -1,14 +1,14 @@
 #include "budget/budgetservice.h"
 
-#include <algorithm>
+#include "budget/budgetrows.h"
+#include "clock/steadytime.h"
+#include "operations/log.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "budget/budgetrows.h"
-#include "clock/steadytime.h"
-#include "operations/log.h"
+#include <algorithm>
 
 namespace bamboohold {
 
--- a/src/budget/budgetservice.h
+++ b/src/budget/budgetservice.h
@@ -1,5 +1,11 @@
 #pragma once
 
+#include "budget/nodeledger.h"
+#include "platform/platformclient.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -7,12 +13,6 @@
 #include <string_view>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-#include <boost/asio/steady_timer.hpp>
-
-#include "budget/nodeledger.h"
-#include "platform/platformclient.h"
-
 namespace bamboohold {
 
 /// Drives a router's NodeLedger: reservations from any loop, and the flush loop on the platform's loop.
--- a/src/budget/charge.h
+++ b/src/budget/charge.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <cstdint>
-#include <string>
-#include <string_view>
+#include "clock/instant.h"
 
 #include <boost/json/object.hpp>
 
-#include "clock/instant.h"
+#include <cstdint>
+#include <string>
+#include <string_view>
 
 namespace bamboohold {
 
--- a/src/budget/ledgerpage.cpp
+++ b/src/budget/ledgerpage.cpp
@@ -1,11 +1,11 @@
 #include "budget/ledgerpage.h"
 
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-
 #include "failure/failure.h"
 #include "platform/table.h"
 
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
 namespace bamboohold {
 
 std::string writeLedgerPage(const LedgerPage &page)
--- a/src/budget/ledgerpage.h
+++ b/src/budget/ledgerpage.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <string>
-#include <string_view>
-#include <vector>
+#include "budget/charge.h"
 
 #include <absl/status/statusor.h>
 
-#include "budget/charge.h"
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace bamboohold {
 
--- a/src/budget/ledgerreader.h
+++ b/src/budget/ledgerreader.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <functional>
+#include "budget/ledgerpage.h"
+#include "platform/platformclient.h"
 
 #include <absl/status/status.h>
 
-#include "budget/ledgerpage.h"
-#include "platform/platformclient.h"
+#include <functional>
 
 namespace bamboohold {
 
--- a/src/budget/nodeledger.cpp
+++ b/src/budget/nodeledger.cpp
@@ -3,13 +3,13 @@
 #include "budget/budgetrows.h"
 #include "budget/ledgerpage.h"
 
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
-#include <absl/container/flat_hash_set.h>
-#include <absl/strings/str_cat.h>
-
 namespace bamboohold {
 
 NodeLedger::NodeLedger(Options options)
--- a/src/budget/nodeledger.h
+++ b/src/budget/nodeledger.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "budget/budgetaccount.h"
+#include "budget/charge.h"
+#include "platform/table.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -7,10 +11,6 @@
 #include <string_view>
 #include <vector>
 
-#include "budget/budgetaccount.h"
-#include "budget/charge.h"
-#include "platform/table.h"
-
 namespace bamboohold {
 
 /// Who a router is for as long as its process lives. A restarted router is a new incarnation.
--- a/src/budget/sponsorship.cpp
+++ b/src/budget/sponsorship.cpp
@@ -1,13 +1,13 @@
 #include "budget/sponsorship.h"
 
+#include "clock/steadytime.h"
+#include "link/framecodec.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "clock/steadytime.h"
-#include "link/framecodec.h"
-
 namespace bamboohold {
 
 namespace {
--- a/src/budget/sponsorship.h
+++ b/src/budget/sponsorship.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "budget/budgetservice.h"
+#include "link/linkhub.h"
+#include "request/requestcourse.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,10 +13,6 @@
 #include <string_view>
 #include <vector>
 
-#include "budget/budgetservice.h"
-#include "link/linkhub.h"
-#include "request/requestcourse.h"
-
 namespace bamboohold {
 
 /// Reservations that one router makes for another's requests while the table is out of reach.
--- a/src/caller/callerapi.cpp
+++ b/src/caller/callerapi.cpp
@@ -1,12 +1,12 @@
 #include "caller/callerapi.h"
 
+#include "clock/steadytime.h"
+#include "net/incarnation.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/json/serialize.hpp>
 
-#include "clock/steadytime.h"
-#include "net/incarnation.h"
-
 namespace bamboohold {
 
 namespace {
--- a/src/caller/callerapi.h
+++ b/src/caller/callerapi.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <functional>
-#include <string>
-
 #include "caller/completionrequest.h"
 #include "caller/requestdriver.h"
 
+#include <functional>
+#include <string>
+
 namespace bamboohold {
 
 /// The callers' interface: authenticates, checks, and hands requests to the RequestDriver. Speaks the OpenAI-compatible interface and
--- a/src/caller/completionrequest.cpp
+++ b/src/caller/completionrequest.cpp
@@ -1,12 +1,12 @@
 #include "caller/completionrequest.h"
 
+#include "failure/failure.h"
+#include "platform/table.h"
+
 #include <absl/strings/str_cat.h>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "failure/failure.h"
-#include "platform/table.h"
-
 namespace bamboohold {
 
 namespace {
--- a/src/caller/completionrequest.h
+++ b/src/caller/completionrequest.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <string>
-#include <string_view>
+#include "clock/instant.h"
 
 #include <absl/status/statusor.h>
 
-#include "clock/instant.h"
+#include <string>
+#include <string_view>
 
 namespace bamboohold {
 
--- a/src/caller/requestdriver.cpp
+++ b/src/caller/requestdriver.cpp
@@ -1,13 +1,14 @@
 #include "caller/requestdriver.h"
 
-#include <absl/strings/str_cat.h>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include "clock/steadytime.h"
 #include "link/framecodec.h"
+#include "net/pause.h"
 #include "operations/log.h"
 
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace bamboohold {
 
 namespace {
@@ -18,12 +19,6 @@
 constexpr std::uint64_t s_initialCredit = 256 * 1024;
 constexpr std::size_t s_creditBatch = 64 * 1024;
 
-asio::awaitable<void> pause(Duration duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 std::vector<HttpHeader> answerHeaders(const RoutedRequest &request)
 {
     return {{.name = "X-Request-Id", .value = request.requestId}};
--- a/src/caller/requestdriver.h
+++ b/src/caller/requestdriver.h
@@ -1,13 +1,5 @@
 #pragma once
 
-#include <functional>
-#include <memory>
-#include <mutex>
-#include <set>
-#include <string>
-
-#include <oneapi/tbb/concurrent_hash_map.h>
-
 #include "budget/budgetservice.h"
 #include "budget/sponsorship.h"
 #include "configuration/configuration.h"
@@ -19,6 +11,14 @@
 #include "request/requestcourse.h"
 #include "routing/targettable.h"
 
+#include <oneapi/tbb/concurrent_hash_map.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
 namespace bamboohold {
 
 /// A checked request on its way through the router.
--- a/src/cli/arguments.cpp
+++ b/src/cli/arguments.cpp
@@ -1,6 +1,7 @@
 #include "cli/arguments.h"
 
-#include <cstdlib>
+#include "failure/failure.h"
+#include "net/incarnation.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
@@ -8,8 +9,7 @@
 #include <absl/strings/str_split.h>
 #include <gflags/gflags.h>
 
-#include "failure/failure.h"
-#include "net/incarnation.h"
+#include <cstdlib>
 
 DEFINE_string(cli_platform, "127.0.0.1:7300", "IP:port of the platform's table and object store");
 DEFINE_string(cli_output, "table", "table or json");
--- a/src/cli/arguments.h
+++ b/src/cli/arguments.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <string>
-#include <vector>
-
 #include <absl/status/statusor.h>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <string>
+#include <vector>
+
 namespace bamboohold {
 
 /// Exit codes of the client, as its manual page lists them.
--- a/src/cli/budgetcommands.cpp
+++ b/src/cli/budgetcommands.cpp
@@ -1,13 +1,13 @@
 #include "cli/budgetcommands.h"
 
-#include <iostream>
+#include "budget/budgetrows.h"
+#include "budget/ledgerreader.h"
+#include "cli/output.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
-#include "budget/budgetrows.h"
-#include "budget/ledgerreader.h"
-#include "cli/output.h"
+#include <iostream>
 
 namespace bamboohold {
 
--- a/src/cli/inventorycommands.cpp
+++ b/src/cli/inventorycommands.cpp
@@ -1,16 +1,16 @@
 #include "cli/inventorycommands.h"
 
-#include <filesystem>
-#include <fstream>
-#include <iostream>
-#include <sstream>
+#include "cli/output.h"
+#include "configuration/configurationstore.h"
+#include "inventory/teamkey.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/json/serialize.hpp>
 
-#include "cli/output.h"
-#include "configuration/configurationstore.h"
-#include "inventory/teamkey.h"
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
 
 namespace bamboohold {
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,14 +1,14 @@
-#include <iostream>
-#include <map>
-
-#include <boost/asio/co_spawn.hpp>
-
 #include "cli/arguments.h"
 #include "cli/budgetcommands.h"
 #include "cli/inventorycommands.h"
 #include "cli/output.h"
 #include "daemon/version.h"
 
+#include <boost/asio/co_spawn.hpp>
+
+#include <iostream>
+#include <map>
+
 namespace {
 
 using namespace bamboohold;
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -1,10 +1,10 @@
 #include "cli/output.h"
 
+#include <boost/json/serialize.hpp>
+
 #include <algorithm>
 #include <iostream>
 
-#include <boost/json/serialize.hpp>
-
 namespace bamboohold {
 
 namespace {
--- a/src/cli/output.h
+++ b/src/cli/output.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <string>
-#include <string_view>
-#include <vector>
+#include "cli/arguments.h"
+#include "failure/failure.h"
 
 #include <boost/json/array.hpp>
 
-#include "cli/arguments.h"
-#include "failure/failure.h"
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace bamboohold {
 
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -1,9 +1,9 @@
 #include "configuration/configuration.h"
 
-#include <absl/strings/str_cat.h>
-
 #include "inventory/teamkey.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace bamboohold {
 
 std::string configurationObject(std::uint64_t version, std::string_view changeId)
--- a/src/configuration/configuration.h
+++ b/src/configuration/configuration.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "inventory/inventory.h"
+
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
 
-#include <absl/container/flat_hash_map.h>
-
-#include "inventory/inventory.h"
-
 namespace bamboohold {
 
 /// Key of the row that names the newest accepted configuration, and the object under which a version's document is kept.
--- a/src/configuration/configurationstore.cpp
+++ b/src/configuration/configurationstore.cpp
@@ -1,12 +1,12 @@
 #include "configuration/configurationstore.h"
 
-#include <absl/container/flat_hash_map.h>
-#include <absl/strings/str_cat.h>
-
 #include "budget/budgetrows.h"
 #include "configuration/configuration.h"
 #include "failure/failure.h"
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+
 namespace bamboohold {
 
 namespace {
--- a/src/configuration/configurationstore.h
+++ b/src/configuration/configurationstore.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
-#include <string>
+#include "inventory/inventory.h"
+#include "platform/platformclient.h"
 
 #include <absl/status/statusor.h>
 
-#include "inventory/inventory.h"
-#include "platform/platformclient.h"
+#include <cstdint>
+#include <optional>
+#include <string>
 
 namespace bamboohold {
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,14 +1,14 @@
-#include <csignal>
-#include <iostream>
-
-#include <boost/asio/signal_set.hpp>
-
 #include "daemon/router.h"
 #include "daemon/settings.h"
 #include "engine/sidecar.h"
 #include "net/workerpool.h"
 #include "operations/log.h"
 
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+
 namespace {
 
 using namespace bamboohold;
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -1,5 +1,11 @@
 #include "daemon/router.h"
 
+#include "budget/budgetrows.h"
+#include "clock/steadytime.h"
+#include "net/incarnation.h"
+#include "net/pause.h"
+#include "operations/log.h"
+
 #include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -8,11 +14,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "budget/budgetrows.h"
-#include "clock/steadytime.h"
-#include "net/incarnation.h"
-#include "operations/log.h"
-
 namespace bamboohold {
 
 namespace {
@@ -22,12 +23,6 @@
 constexpr Duration s_drainPoll = std::chrono::milliseconds(20);
 constexpr Duration s_returnLimit = std::chrono::seconds(5);
 
-asio::awaitable<void> pause(Duration duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 std::vector<TargetPlace> placesOf(const Inventory &inventory, std::string_view ownDomain)
 {
     std::vector<TargetPlace> places;
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <memory>
-#include <mutex>
-#include <string>
-
 #include "budget/budgetservice.h"
 #include "caller/callerapi.h"
 #include "caller/requestdriver.h"
@@ -20,6 +16,10 @@
 #include "platform/platformclient.h"
 #include "routing/targettable.h"
 
+#include <memory>
+#include <mutex>
+#include <string>
+
 namespace bamboohold {
 
 /// The daemon's router role: wires the callers' interface, budgets, routing and links together and follows the configuration.
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,7 +1,6 @@
 #include "daemon/settings.h"
 
-#include <cstdlib>
-#include <string_view>
+#include "daemon/version.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/ascii.h>
@@ -10,7 +9,8 @@
 #include <absl/strings/str_split.h>
 #include <gflags/gflags.h>
 
-#include "daemon/version.h"
+#include <cstdlib>
+#include <string_view>
 
 DEFINE_string(role, "", "router or sidecar");
 DEFINE_string(host, "", "name of this host in the inventory");
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
-#include <string>
-#include <vector>
+#include "clock/instant.h"
+#include "failure/failure.h"
 
 #include <absl/status/statusor.h>
 #include <boost/asio/ip/tcp.hpp>
 
-#include "clock/instant.h"
-#include "failure/failure.h"
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace bamboohold {
 
--- a/src/engine/runtable.h
+++ b/src/engine/runtable.h
@@ -1,17 +1,17 @@
 #pragma once
 
+#include "clock/instant.h"
+#include "engine/usagescanner.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
-
-#include "clock/instant.h"
-#include "engine/usagescanner.h"
-
 namespace bamboohold {
 
 /// Why a sidecar declines an attempt. Each means that the engine has not had it: not run.
--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -1,6 +1,12 @@
 #include "engine/sidecar.h"
 
-#include <algorithm>
+#include "budget/budgetrows.h"
+#include "clock/steadytime.h"
+#include "link/framecodec.h"
+#include "net/incarnation.h"
+#include "net/pause.h"
+#include "operations/log.h"
+#include "platform/platformclient.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
@@ -10,12 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
 
-#include "budget/budgetrows.h"
-#include "clock/steadytime.h"
-#include "link/framecodec.h"
-#include "net/incarnation.h"
-#include "operations/log.h"
-#include "platform/platformclient.h"
+#include <algorithm>
 
 namespace bamboohold {
 
@@ -32,12 +33,6 @@
 constexpr std::uint64_t s_repeatedEndSequence = UINT64_MAX;
 constexpr std::uint64_t s_windowBytes = 256 * 1024;
 
-asio::awaitable<void> pause(Duration duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 }
 
 /// One attempt while the engine has it. Shared by its coroutine and by the table through which cancellations and credit find it.
--- a/src/engine/sidecar.h
+++ b/src/engine/sidecar.h
@@ -1,12 +1,5 @@
 #pragma once
 
-#include <memory>
-#include <mutex>
-#include <string>
-
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
-
 #include "daemon/settings.h"
 #include "engine/runtable.h"
 #include "link/linkhub.h"
@@ -16,6 +9,13 @@
 #include "operations/metrics.h"
 #include "request/requestcourse.h"
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <memory>
+#include <mutex>
+#include <string>
+
 namespace bamboohold {
 
 /// The process beside one target: the only one that talks to its engine. It drives RunTable, carries answers to routers frame by frame
--- a/src/engine/usagescanner.cpp
+++ b/src/engine/usagescanner.cpp
@@ -1,10 +1,10 @@
 #include "engine/usagescanner.h"
 
-#include <algorithm>
+#include "platform/table.h"
 
 #include <boost/json/parse.hpp>
 
-#include "platform/table.h"
+#include <algorithm>
 
 namespace bamboohold {
 
--- a/src/engine/usagescanner.h
+++ b/src/engine/usagescanner.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "clock/instant.h"
+
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "clock/instant.h"
-
 namespace bamboohold {
 
 /// Tokens of a run as its engine counted them.
--- a/src/failure/failure.cpp
+++ b/src/failure/failure.cpp
@@ -1,13 +1,13 @@
 #include "failure/failure.h"
 
-#include <array>
-#include <utility>
-
 #include <absl/strings/cord.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <array>
+#include <utility>
+
 namespace bamboohold {
 
 namespace {
--- a/src/failure/failure.h
+++ b/src/failure/failure.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include <absl/status/status.h>
-#include <absl/status/statusor.h>
-
 namespace bamboohold {
 
 /// Every way in which the fleet can decline or fail, as callers, logs and the ledger name it.
--- a/src/inventory/documentreader.cpp
+++ b/src/inventory/documentreader.cpp
@@ -1,9 +1,9 @@
 #include "inventory/documentreader.h"
 
-#include <algorithm>
-
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace bamboohold {
 
 DocumentReader::DocumentReader(const boost::json::object &object, std::string path, std::vector<DocumentError> &errors)
--- a/src/inventory/documentreader.h
+++ b/src/inventory/documentreader.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <cstdint>
-#include <string>
-#include <string_view>
-#include <vector>
+#include "inventory/inventory.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
-#include "inventory/inventory.h"
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace bamboohold {
 
--- a/src/inventory/inventory.cpp
+++ b/src/inventory/inventory.cpp
@@ -1,6 +1,6 @@
 #include "inventory/inventory.h"
 
-#include <algorithm>
+#include "inventory/documentreader.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/match.h>
@@ -9,7 +9,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "inventory/documentreader.h"
+#include <algorithm>
 
 namespace bamboohold {
 
--- a/src/inventory/inventory.h
+++ b/src/inventory/inventory.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "clock/instant.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/json/object.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-#include <boost/json/object.hpp>
-
-#include "clock/instant.h"
-
 namespace bamboohold {
 
 /// A part of the site that fails as one: a building, a hall, a power feed.
--- a/src/inventory/teamkey.cpp
+++ b/src/inventory/teamkey.cpp
@@ -1,12 +1,12 @@
 #include "inventory/teamkey.h"
 
-#include <array>
-
 #include <absl/strings/escaping.h>
 #include <openssl/crypto.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 
+#include <array>
+
 namespace bamboohold {
 
 namespace {
--- a/src/inventory/teamkey.h
+++ b/src/inventory/teamkey.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "inventory/inventory.h"
+
 #include <string>
 #include <string_view>
 
-#include "inventory/inventory.h"
-
 namespace bamboohold {
 
 /// The team's name within a key of the form TEAM.SECRET; empty when the key has another form.
--- a/src/link/linkhub.cpp
+++ b/src/link/linkhub.cpp
@@ -1,14 +1,13 @@
 #include "link/linkhub.h"
 
-#include <array>
-#include <cerrno>
+#include "failure/failure.h"
 
+#include <absl/strings/str_cat.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include <absl/strings/str_cat.h>
-
-#include "failure/failure.h"
+#include <array>
+#include <cerrno>
 
 namespace bamboohold {
 
--- a/src/link/linkhub.h
+++ b/src/link/linkhub.h
@@ -1,5 +1,12 @@
 #pragma once
 
+#include "link/link.pb.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/status/status.h>
+#include <oneapi/tbb/concurrent_queue.h>
+#include <zmq.hpp>
+
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -8,13 +15,6 @@
 #include <thread>
 #include <vector>
 
-#include <absl/container/flat_hash_set.h>
-#include <absl/status/status.h>
-#include <oneapi/tbb/concurrent_queue.h>
-#include <zmq.hpp>
-
-#include "link/link.pb.h"
-
 namespace bamboohold {
 
 /// The process's one socket to its peers. A thread of its own owns the socket; other threads hand it messages through a queue.
--- a/src/measure/baselines.h
+++ b/src/measure/baselines.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "measure/simulation.h"
+
 #include <map>
 #include <string>
 #include <vector>
 
-#include "measure/simulation.h"
-
 namespace bamboohold {
 
 /// Baseline: each router gets an equal share of every budget and keeps it. No exchange, so nothing depends on the table after the start.
--- a/src/measure/budgets.cpp
+++ b/src/measure/budgets.cpp
@@ -1,11 +1,11 @@
-#include <concepts>
-#include <iostream>
+#include "measure/baselines.h"
+#include "measure/grantpolicy.h"
 
 #include <boost/json/serialize.hpp>
 #include <gflags/gflags.h>
 
-#include "measure/baselines.h"
-#include "measure/grantpolicy.h"
+#include <concepts>
+#include <iostream>
 
 DEFINE_string(policy, "", "only this policy");
 DEFINE_string(scenario, "", "only this scenario");
--- a/src/measure/capacity.cpp
+++ b/src/measure/capacity.cpp
@@ -1,16 +1,3 @@
-#include <chrono>
-#include <cmath>
-#include <functional>
-#include <iostream>
-#include <map>
-#include <memory>
-#include <string>
-#include <vector>
-
-#include <malloc.h>
-
-#include <boost/json/serialize.hpp>
-
 #include "budget/budgetrows.h"
 #include "budget/nodeledger.h"
 #include "configuration/configuration.h"
@@ -21,6 +8,18 @@
 #include "platform/memorytable.h"
 #include "routing/targettable.h"
 
+#include <boost/json/serialize.hpp>
+#include <malloc.h>
+
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
 namespace {
 
 using namespace bamboohold;
--- a/src/measure/grantpolicy.cpp
+++ b/src/measure/grantpolicy.cpp
@@ -1,11 +1,11 @@
 #include "measure/grantpolicy.h"
 
-#include <algorithm>
+#include "budget/budgetrows.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/json/serialize.hpp>
 
-#include "budget/budgetrows.h"
+#include <algorithm>
 
 namespace bamboohold {
 
--- a/src/measure/grantpolicy.h
+++ b/src/measure/grantpolicy.h
@@ -1,17 +1,17 @@
 #pragma once
 
-#include <map>
-#include <memory>
-#include <set>
-#include <string>
-#include <vector>
-
 #include "budget/nodeledger.h"
 #include "engine/runtable.h"
 #include "measure/simulation.h"
 #include "membership/reclamation.h"
 #include "platform/memorytable.h"
 
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
 namespace bamboohold {
 
 /// The product's own decision objects under a scenario: a NodeLedger for each router over one table, recalls between them, recovery after a
--- a/src/measure/load.cpp
+++ b/src/measure/load.cpp
@@ -1,15 +1,15 @@
-#include <algorithm>
-#include <csignal>
-#include <iostream>
-#include <vector>
+#include "clock/steadytime.h"
+#include "net/httpclient.h"
+#include "net/workerpool.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/json/serialize.hpp>
 #include <gflags/gflags.h>
 
-#include "clock/steadytime.h"
-#include "net/httpclient.h"
-#include "net/workerpool.h"
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <vector>
 
 DEFINE_string(url, "127.0.0.1:8080", "IP:port of a router or an engine");
 DEFINE_string(key, "", "bearer key; none for an engine");
--- a/src/measure/scenario.h
+++ b/src/measure/scenario.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "clock/instant.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "clock/instant.h"
-
 namespace bamboohold {
 
 /// A team's load in a scenario.
--- a/src/measure/simulation.h
+++ b/src/measure/simulation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "measure/scenario.h"
+
 #include <functional>
 #include <map>
 #include <queue>
@@ -7,8 +9,6 @@
 #include <string>
 #include <vector>
 
-#include "measure/scenario.h"
-
 namespace bamboohold {
 
 /// A simulated request.
--- a/src/membership/handover.h
+++ b/src/membership/handover.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "clock/instant.h"
+
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "clock/instant.h"
-
 namespace bamboohold {
 
 /// Finds out when a router has settled all that it gave to earlier processes at a target whose sidecar was replaced. Until the new sidecar
--- a/src/membership/peerdirectory.cpp
+++ b/src/membership/peerdirectory.cpp
@@ -1,9 +1,9 @@
 #include "membership/peerdirectory.h"
 
-#include <algorithm>
-
 #include "budget/budgetrows.h"
 
+#include <algorithm>
+
 namespace bamboohold {
 
 PeerDirectory::PeerDirectory(Options options)
--- a/src/membership/peerdirectory.h
+++ b/src/membership/peerdirectory.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "clock/instant.h"
+#include "platform/table.h"
+
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -8,9 +11,6 @@
 #include <string_view>
 #include <vector>
 
-#include "clock/instant.h"
-#include "platform/table.h"
-
 namespace bamboohold {
 
 /// What a router knows of the other router incarnations: their rows in the table and their heartbeats.
--- a/src/membership/reclaimservice.cpp
+++ b/src/membership/reclaimservice.cpp
@@ -1,27 +1,22 @@
 #include "membership/reclaimservice.h"
 
-#include <absl/strings/numbers.h>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include "budget/budgetrows.h"
 #include "clock/steadytime.h"
 #include "link/framecodec.h"
+#include "net/pause.h"
 #include "operations/log.h"
 
+#include <absl/strings/numbers.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace bamboohold {
 
 namespace {
 
 constexpr int s_tries = 20;
 
-asio::awaitable<void> pause(Duration duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 RunRecord recordOf(const wire::SealedRun &run)
 {
     RunRecord record{.requestId = run.request_id(),
--- a/src/membership/reclaimservice.h
+++ b/src/membership/reclaimservice.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "link/linkhub.h"
+#include "membership/reclamation.h"
+#include "platform/platformclient.h"
+
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
 
-#include "link/linkhub.h"
-#include "membership/reclamation.h"
-#include "platform/platformclient.h"
-
 namespace bamboohold {
 
 /// Drives Reclamation for one suspect at a time.
--- a/src/membership/reclamation.cpp
+++ b/src/membership/reclamation.cpp
@@ -1,11 +1,11 @@
 #include "membership/reclamation.h"
 
-#include <algorithm>
-#include <cassert>
+#include "budget/budgetrows.h"
 
 #include <absl/strings/str_cat.h>
 
-#include "budget/budgetrows.h"
+#include <algorithm>
+#include <cassert>
 
 namespace bamboohold {
 
--- a/src/membership/reclamation.h
+++ b/src/membership/reclamation.h
@@ -1,5 +1,12 @@
 #pragma once
 
+#include "budget/ledgerpage.h"
+#include "engine/runtable.h"
+#include "platform/table.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -7,13 +14,6 @@
 #include <string_view>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
-
-#include "budget/ledgerpage.h"
-#include "engine/runtable.h"
-#include "platform/table.h"
-
 namespace bamboohold {
 
 /// A sidecar's answer about a router incarnation.
--- a/src/membership/storerelay.h
+++ b/src/membership/storerelay.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "link/linkhub.h"
+#include "platform/platformclient.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -7,9 +10,6 @@
 #include <string>
 #include <vector>
 
-#include "link/linkhub.h"
-#include "platform/platformclient.h"
-
 namespace bamboohold {
 
 /// The way to the platform through a peer. A router that cannot reach the table sends its calls through one that can, so that draws,
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <memory>
-#include <string>
-#include <string_view>
-#include <vector>
+#include "clock/instant.h"
+#include "net/httpserver.h"
 
 #include <absl/status/statusor.h>
 #include <boost/asio/any_io_executor.hpp>
@@ -14,8 +12,10 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
-#include "clock/instant.h"
-#include "net/httpserver.h"
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace bamboohold {
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,8 +1,5 @@
 #include "net/httpserver.h"
 
-#include <array>
-#include <charconv>
-
 #include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_executor.hpp>
@@ -15,6 +12,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <array>
+#include <charconv>
+
 namespace bamboohold {
 
 namespace {
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -1,11 +1,7 @@
 #pragma once
 
-#include <functional>
-#include <memory>
-#include <optional>
-#include <string>
-#include <string_view>
-#include <vector>
+#include "failure/failure.h"
+#include "net/workerpool.h"
 
 #include <absl/status/status.h>
 #include <boost/asio/awaitable.hpp>
@@ -14,8 +10,12 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "failure/failure.h"
-#include "net/workerpool.h"
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace bamboohold {
 
--- a/src/net/incarnation.cpp
+++ b/src/net/incarnation.cpp
@@ -1,11 +1,11 @@
 #include "net/incarnation.h"
 
-#include <array>
-#include <cstdint>
-
 #include <absl/strings/escaping.h>
 #include <openssl/rand.h>
 
+#include <array>
+#include <cstdint>
+
 namespace bamboohold {
 
 namespace {
--- a/src/net/workerpool.h
+++ b/src/net/workerpool.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <atomic>
-#include <memory>
-#include <vector>
-
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <oneapi/tbb/task_arena.h>
 #include <oneapi/tbb/task_group.h>
 
+#include <atomic>
+#include <memory>
+#include <vector>
+
 namespace bamboohold {
 
 /// The process's workers: a oneTBB arena in which each worker runs one event loop. A connection stays on the loop it was opened on, so its
--- a/src/operations/bucketcounts.h
+++ b/src/operations/bucketcounts.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <array>
-#include <cstddef>
-#include <cstdint>
-
 #include <boost/accumulators/framework/accumulator_base.hpp>
 #include <boost/accumulators/framework/depends_on.hpp>
 #include <boost/accumulators/framework/extractor.hpp>
 #include <boost/accumulators/framework/parameters/sample.hpp>
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
 namespace bamboohold {
 
 /// Upper bounds of the latency buckets, in seconds; the users' targets (61 ms, 0.64 s) are bounds themselves, so that "95 in 100 within"
--- a/src/operations/log.cpp
+++ b/src/operations/log.cpp
@@ -1,6 +1,6 @@
 #include "operations/log.h"
 
-#include <iostream>
+#include "clock/steadytime.h"
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/json/object.hpp>
@@ -13,7 +13,7 @@
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 
-#include "clock/steadytime.h"
+#include <iostream>
 
 namespace bamboohold {
 
--- a/src/operations/metrics.h
+++ b/src/operations/metrics.h
@@ -1,17 +1,17 @@
 #pragma once
 
-#include <array>
-#include <map>
-#include <mutex>
-#include <string>
-#include <string_view>
+#include "operations/bucketcounts.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
-#include "operations/bucketcounts.h"
+#include <array>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
 
 namespace bamboohold {
 
--- a/src/platform/memorytable.cpp
+++ b/src/platform/memorytable.cpp
@@ -1,9 +1,9 @@
 #include "platform/memorytable.h"
 
-#include <utility>
-
 #include "failure/failure.h"
 
+#include <utility>
+
 namespace bamboohold {
 
 std::optional<TableObstacle> MemoryTable::obstacleTo(const TableOperation &operation, std::size_t index) const
--- a/src/platform/memorytable.h
+++ b/src/platform/memorytable.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "platform/table.h"
+
 #include <map>
 #include <string>
 #include <string_view>
 
-#include "platform/table.h"
-
 namespace bamboohold {
 
 /// The table's and the object store's rules, in memory. The platform stand-in serves it over HTTP; tests and scenario drivers use it
--- a/src/platform/platformclient.cpp
+++ b/src/platform/platformclient.cpp
@@ -1,12 +1,12 @@
 #include "platform/platformclient.h"
 
+#include "clock/steadytime.h"
+#include "failure/failure.h"
+
 #include <absl/strings/str_cat.h>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "clock/steadytime.h"
-#include "failure/failure.h"
-
 namespace bamboohold {
 
 namespace {
--- a/src/platform/platformclient.h
+++ b/src/platform/platformclient.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "net/httpclient.h"
+#include "platform/table.h"
+
+#include <absl/status/statusor.h>
+
 #include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include <absl/status/statusor.h>
-
-#include "net/httpclient.h"
-#include "platform/table.h"
-
 namespace bamboohold {
 
 /// Calls the platform's table, object store and host list over HTTP. Bound to one event loop: whoever runs on another one spawns the call
--- a/src/platform/table.cpp
+++ b/src/platform/table.cpp
@@ -1,9 +1,9 @@
 #include "platform/table.h"
 
-#include <boost/json/value_to.hpp>
-
 #include "failure/failure.h"
 
+#include <boost/json/value_to.hpp>
+
 namespace bamboohold {
 
 namespace {
--- a/src/platform/table.h
+++ b/src/platform/table.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <absl/status/statusor.h>
+#include <boost/json/object.hpp>
+
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -7,9 +10,6 @@
 #include <string_view>
 #include <vector>
 
-#include <absl/status/statusor.h>
-#include <boost/json/object.hpp>
-
 namespace bamboohold {
 
 /// A row of the platform's table: a JSON object under a key. Versions count from 1; 0 means that the row does not exist.
--- a/src/request/answermailbox.cpp
+++ b/src/request/answermailbox.cpp
@@ -1,11 +1,11 @@
 #include "request/answermailbox.h"
 
-#include <utility>
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace bamboohold {
 
 AnswerMailbox::AnswerMailbox(asio::any_io_executor executor)
--- a/src/request/answermailbox.h
+++ b/src/request/answermailbox.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include <deque>
-#include <mutex>
-#include <optional>
+#include "clock/instant.h"
+#include "net/httpserver.h"
+#include "request/requestcourse.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "clock/instant.h"
-#include "net/httpserver.h"
-#include "request/requestcourse.h"
+#include <deque>
+#include <mutex>
+#include <optional>
 
 namespace bamboohold {
 
--- a/src/request/claimbatch.cpp
+++ b/src/request/claimbatch.cpp
@@ -1,9 +1,9 @@
 #include "request/claimbatch.h"
 
-#include <algorithm>
-
 #include <absl/strings/escaping.h>
 
+#include <algorithm>
+
 namespace bamboohold {
 
 namespace {
--- a/src/request/claimbatch.h
+++ b/src/request/claimbatch.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "platform/table.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "platform/table.h"
-
 namespace bamboohold {
 
 /// What the table knows of a request that must not run twice, under the team's name and the caller's idempotency key.
--- a/src/request/claimservice.cpp
+++ b/src/request/claimservice.cpp
@@ -1,5 +1,7 @@
 #include "request/claimservice.h"
 
+#include "failure/failure.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -7,8 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "failure/failure.h"
-
 namespace bamboohold {
 
 namespace {
--- a/src/request/claimservice.h
+++ b/src/request/claimservice.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "platform/platformclient.h"
+#include "request/claimbatch.h"
+
+#include <absl/status/statusor.h>
+
 #include <deque>
 #include <memory>
 #include <mutex>
 #include <string>
 
-#include <absl/status/statusor.h>
-
-#include "platform/platformclient.h"
-#include "request/claimbatch.h"
-
 namespace bamboohold {
 
 /// Carries claims to the table in groups, and answers to the object store.
--- a/src/request/requestcourse.h
+++ b/src/request/requestcourse.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "budget/charge.h"
+#include "engine/runtable.h"
+#include "failure/failure.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -7,10 +11,6 @@
 #include <variant>
 #include <vector>
 
-#include "budget/charge.h"
-#include "engine/runtable.h"
-#include "failure/failure.h"
-
 namespace bamboohold {
 
 /// The engine's status line and content type.
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "clock/instant.h"
+
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -7,10 +11,6 @@
 #include <string_view>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-
-#include "clock/instant.h"
-
 namespace bamboohold {
 
 /// A target's own account of its load. It lags by the time it takes to arrive.
--- a/src/standin/enginemain.cpp
+++ b/src/standin/enginemain.cpp
@@ -1,12 +1,12 @@
-#include <csignal>
-#include <iostream>
+#include "net/workerpool.h"
+#include "standin/engineserver.h"
+#include "standin/faultswitch.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
 
-#include "net/workerpool.h"
-#include "standin/engineserver.h"
-#include "standin/faultswitch.h"
+#include <csignal>
+#include <iostream>
 
 DEFINE_string(address, "127.0.0.1", "IP address to listen on");
 DEFINE_int32(port, 9000, "port to listen on");
--- a/src/standin/engineserver.cpp
+++ b/src/standin/engineserver.cpp
@@ -1,6 +1,8 @@
 #include "standin/engineserver.h"
 
-#include <algorithm>
+#include "clock/steadytime.h"
+#include "platform/table.h"
+#include "standin/faultswitch.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -11,9 +13,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "clock/steadytime.h"
-#include "platform/table.h"
-#include "standin/faultswitch.h"
+#include <algorithm>
 
 namespace bamboohold {
 
--- a/src/standin/engineserver.h
+++ b/src/standin/engineserver.h
@@ -1,5 +1,10 @@
 #pragma once
 
+#include "clock/instant.h"
+#include "net/httpserver.h"
+
+#include <boost/json/object.hpp>
+
 #include <deque>
 #include <list>
 #include <map>
@@ -8,11 +13,6 @@
 #include <string>
 #include <vector>
 
-#include <boost/json/object.hpp>
-
-#include "clock/instant.h"
-#include "net/httpserver.h"
-
 namespace bamboohold {
 
 /// The stand-in for a model engine or a plain service. A model engine speaks the OpenAI interface, runs a limited number of requests at a
--- a/src/standin/faultswitch.cpp
+++ b/src/standin/faultswitch.cpp
@@ -1,8 +1,5 @@
 #include "standin/faultswitch.h"
 
-#include <array>
-#include <charconv>
-
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -10,6 +7,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
+#include <charconv>
+
 namespace bamboohold {
 
 namespace {
--- a/src/standin/faultswitch.h
+++ b/src/standin/faultswitch.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <atomic>
-#include <string>
-#include <string_view>
+#include "net/httpserver.h"
 
 #include <boost/asio/awaitable.hpp>
 
-#include "net/httpserver.h"
+#include <atomic>
+#include <string>
+#include <string_view>
 
 namespace bamboohold {
 
--- a/src/standin/platformmain.cpp
+++ b/src/standin/platformmain.cpp
@@ -1,12 +1,12 @@
-#include <csignal>
-#include <iostream>
+#include "net/workerpool.h"
+#include "standin/faultswitch.h"
+#include "standin/platformserver.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
 
-#include "net/workerpool.h"
-#include "standin/faultswitch.h"
-#include "standin/platformserver.h"
+#include <csignal>
+#include <iostream>
 
 DEFINE_string(address, "127.0.0.1", "IP address to listen on");
 DEFINE_int32(port, 7300, "port to listen on");
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -1,6 +1,7 @@
 #include "standin/platformserver.h"
 
-#include <algorithm>
+#include "clock/steadytime.h"
+#include "standin/faultswitch.h"
 
 #include <absl/strings/numbers.h>
 #include <boost/asio/as_tuple.hpp>
@@ -9,8 +10,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "clock/steadytime.h"
-#include "standin/faultswitch.h"
+#include <algorithm>
 
 namespace bamboohold {
 
--- a/src/standin/platformserver.h
+++ b/src/standin/platformserver.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "clock/instant.h"
+#include "net/httpserver.h"
+#include "platform/memorytable.h"
+
 #include <deque>
 #include <map>
 #include <mutex>
 #include <string>
 
-#include "clock/instant.h"
-#include "net/httpserver.h"
-#include "platform/memorytable.h"
-
 namespace bamboohold {
 
 /// The platform's stand-in over HTTP: table, object store, lagging host list and rate-limited weight store.
--- a/src/tests/claimbatchtest.cpp
+++ b/src/tests/claimbatchtest.cpp
@@ -1,7 +1,7 @@
-#include <boost/test/unit_test.hpp>
-
-#include "platform/memorytable.h"
 #include "request/claimbatch.h"
+#include "platform/memorytable.h"
+
+#include <boost/test/unit_test.hpp>
 
 using namespace bamboohold;
 
--- a/src/tests/completionrequesttest.cpp
+++ b/src/tests/completionrequesttest.cpp
@@ -1,9 +1,9 @@
-#include <boost/json/parse.hpp>
-#include <boost/test/unit_test.hpp>
-
 #include "caller/completionrequest.h"
 #include "failure/failure.h"
 
+#include <boost/json/parse.hpp>
+#include <boost/test/unit_test.hpp>
+
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(CompletionRequestTest)
--- a/src/tests/configurationtest.cpp
+++ b/src/tests/configurationtest.cpp
@@ -1,8 +1,8 @@
-#include <boost/test/unit_test.hpp>
-
 #include "configuration/configuration.h"
 #include "inventory/teamkey.h"
 
+#include <boost/test/unit_test.hpp>
+
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(ConfigurationTest)
--- a/src/tests/failuretest.cpp
+++ b/src/tests/failuretest.cpp
@@ -1,9 +1,9 @@
+#include "failure/failure.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <set>
 
-#include "failure/failure.h"
-
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(FailureTest)
--- a/src/tests/fakefleet.cpp
+++ b/src/tests/fakefleet.cpp
@@ -1,12 +1,12 @@
 #include "fakefleet.h"
 
-#include <algorithm>
+#include "budget/budgetrows.h"
+#include "budget/ledgerpage.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 
-#include "budget/budgetrows.h"
-#include "budget/ledgerpage.h"
+#include <algorithm>
 
 namespace bamboohold {
 
--- a/src/tests/fakefleet.h
+++ b/src/tests/fakefleet.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "budget/nodeledger.h"
+#include "engine/runtable.h"
+#include "membership/reclamation.h"
+#include "platform/memorytable.h"
+
 #include <deque>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "budget/nodeledger.h"
-#include "engine/runtable.h"
-#include "membership/reclamation.h"
-#include "platform/memorytable.h"
-
 namespace bamboohold {
 
 /// What happens to a transaction on its way.
--- a/src/tests/fleetpropertytest.cpp
+++ b/src/tests/fleetpropertytest.cpp
@@ -1,8 +1,8 @@
+#include "fakefleet.h"
+
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
-#include "fakefleet.h"
-
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(FleetPropertyTest)
--- a/src/tests/inventorytest.cpp
+++ b/src/tests/inventorytest.cpp
@@ -1,11 +1,11 @@
+#include "inventory/inventory.h"
+#include "inventory/teamkey.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <fstream>
 #include <sstream>
 
-#include "inventory/inventory.h"
-#include "inventory/teamkey.h"
-
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(InventoryTest)
--- a/src/tests/memorytabletest.cpp
+++ b/src/tests/memorytabletest.cpp
@@ -1,7 +1,7 @@
-#include <boost/test/unit_test.hpp>
-
 #include "platform/memorytable.h"
 
+#include <boost/test/unit_test.hpp>
+
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(MemoryTableTest)
--- a/src/tests/nodeledgertest.cpp
+++ b/src/tests/nodeledgertest.cpp
@@ -1,11 +1,11 @@
-#include <boost/test/unit_test.hpp>
-
+#include "budget/nodeledger.h"
 #include "budget/budgetrows.h"
 #include "budget/ledgerpage.h"
-#include "budget/nodeledger.h"
 #include "fakefleet.h"
 #include "platform/memorytable.h"
 
+#include <boost/test/unit_test.hpp>
+
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(NodeLedgerTest)
--- a/src/tests/usagescannertest.cpp
+++ b/src/tests/usagescannertest.cpp
@@ -1,8 +1,8 @@
+#include "engine/usagescanner.h"
+
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
-#include "engine/usagescanner.h"
-
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(UsageScannerTest)
