--- a/src/engine/runtable.cpp
+++ b/src/engine/runtable.cpp
@@ -5,6 +5,23 @@
 
 namespace bamboohold {
 
+std::string_view runEndName(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Complete:
+        return "complete";
+    case RunEnd::FailedAfterRunning:
+        return "failed_after_running";
+    case RunEnd::Cancelled:
+        return "cancelled";
+    case RunEnd::NotRun:
+        return "not_run";
+    case RunEnd::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 RunTable::RunTable(Options options)
     : m_options(std::move(options))
 {
--- a/src/engine/runtable.h
+++ b/src/engine/runtable.h
@@ -34,6 +34,9 @@
     Unknown,
 };
 
+/// The stable name of a run's end, as in metrics.
+std::string_view runEndName(RunEnd end);
+
 /// What a sidecar remembers of a run until its router says that it is billed.
 struct RunRecord {
     std::string requestId;
--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -115,7 +115,12 @@
     }
     // The last frames are in the link's queue: give it time to send them before the process ends.
     co_await pause(s_reportInterval);
-    logLine(Severity::Info, "drained", {{"unfinished", static_cast<std::int64_t>(m_live.size())}});
+    std::int64_t unfinished = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        unfinished = static_cast<std::int64_t>(m_live.size());
+    }
+    logLine(Severity::Info, "drained", {{"unfinished", unfinished}});
     m_pool.stop();
 }
 
@@ -340,7 +345,7 @@
     }
     sendFrame(*run, {.attempt = run->dispatch.attempt(), .sequence = run->sequence++, .content = end});
     tellPayer(*run, end);
-    m_metrics.count("bamboohold_runs_total", {.name = "end", .value = std::to_string(static_cast<int>(end.end))});
+    m_metrics.count("bamboohold_runs_total", {.name = "end", .value = runEndName(end.end)});
 }
 
 void Sidecar::cancel(const std::shared_ptr<LiveRun> &run)
