Holdings: an older state of the store no longer fences a router; property test of a holding's whole life

Test: neverSpendsMoreThanPrepaid drives routers, lost, late and doubled flushes, old reads, suspensions, deaths and successors over the store's real conditions.

--- a/src/budget/ledgerkeeper.h
+++ b/src/budget/ledgerkeeper.h
@@ -40,21 +40,22 @@
     boost::asio::awaitable<void> keep(TeamLedger::Entry &entry, std::string team)
     {
         while (!entry.holding.fenced()) {
-            bool answered = true;
+            std::optional<bool> answered;
             if (entry.holding.wantsRead(steadyNow())) {
                 answered = co_await readRows(entry, team);
             }
             const Instant now = steadyNow();
             const std::optional<Instant> due = entry.holding.nextFlush(m_options.routers(), now);
-            if (answered && due && *due <= now) {
+            if (answered.value_or(true) && due && *due <= now) {
                 answered = co_await flush(entry);
             }
-            noteStore(entry, team, answered);
-            if (!answered) {
-                co_await pause(m_options.retryPause);
-            }
             if (answered) {
+                noteStore(entry, team, *answered);
+            }
+            if (answered.value_or(true)) {
                 co_await waitUntilDue(entry);
+            } else {
+                co_await pause(m_options.retryPause);
             }
         }
         logLine(Severity::Error, "budget.fenced", {{"team", team}});
@@ -78,9 +79,9 @@
         if (!rows.ok()) {
             co_return false;
         }
-        entry.holding.loaded(*rows, steadyNow());
+        const bool taken = entry.holding.loaded(*rows, steadyNow());
         entry.answered.cancel();
-        co_return true;
+        co_return taken;
     }
 
     boost::asio::awaitable<bool> flush(TeamLedger::Entry &entry)
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -202,8 +202,12 @@
     return m_storeTime + std::chrono::duration_cast<std::chrono::milliseconds>(now - m_storeTimeAt).count();
 }
 
-void TeamHolding::loaded(const RowsRead &read, Instant now)
+bool TeamHolding::loaded(const RowsRead &read, Instant now)
 {
+    if (read.version < m_seenVersion) {
+        return false;
+    }
+    m_seenVersion = read.version;
     noteStoreTime(read.storeTime, now);
     m_lastRead = now;
     m_unmetSinceRead = 0;
@@ -225,6 +229,7 @@
         rowGone();
     }
     m_loaded = true;
+    return true;
 }
 
 void TeamHolding::adoptPoolRow(const StoredRow &row)
@@ -383,6 +388,7 @@
 void TeamHolding::flushAnswered(const RowVerdict &verdict, Instant now)
 {
     noteStoreTime(verdict.storeTime, now);
+    m_seenVersion = std::max(m_seenVersion, verdict.version);
     if (!m_inFlight) {
         return;
     }
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -99,8 +99,9 @@
     /// The plan's newest statement about the team.
     void setPrepaid(const PrepaidStatement &statement);
 
-    /// The rows of the team's part, from a read that was begun at `asked` and answered at `now`.
-    void loaded(const RowsRead &read, Instant now);
+    /// The rows of the team's part. A read that shows an older state than the store has shown before is left alone: while a store rebuilds its
+    /// history it may answer so, and a holder that believed it would take its own row for gone. Returns whether it was taken.
+    bool loaded(const RowsRead &read, Instant now);
 
     /// True when the rows must be read before anything else: at the start, and when a refusal hinges on what others hold.
     bool wantsRead(Instant now) const;
@@ -232,6 +233,8 @@
     bool m_loaded = false;
     bool m_fenced = false;
     bool m_closing = false;
+    /// The newest version that the store has shown.
+    std::uint64_t m_seenVersion = 0;
     PoolRow m_pool;
     std::uint64_t m_poolVersion = 0;
     /// This holder's row as the store surely had it, and its version; a dead process's row until it is recovered.
--- /dev/null
+++ b/src/tests/teamholdingtest.cpp
@@ -0,0 +1,379 @@
+#include "budget/teamholding.h"
+
+#include "store/memoryrows.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+using namespace bamboohold;
+
+namespace {
+
+constexpr Tokens s_prepaid = 100'000;
+constexpr std::size_t s_routers = 3;
+
+Duration ms(std::int64_t value)
+{
+    return std::chrono::milliseconds(value);
+}
+
+/// One router process: its holding, its steady clock, and the flush that is under way.
+struct Process {
+    explicit Process(std::size_t router, std::size_t life)
+        : holding({.team = "team", .holder = "router-" + std::to_string(router), .incarnation = std::to_string(router) + "~" + std::to_string(life)})
+    {
+        holding.setPrepaid({.prepaid = s_prepaid, .planVersion = 1});
+    }
+
+    TeamHolding holding;
+    Instant now = Instant(std::chrono::seconds(1));
+    std::vector<Tokens> reserved;
+};
+
+/// Routers, the store, and everything between them that can go wrong.
+class Fleet
+{
+public:
+    Fleet()
+    {
+        for (std::size_t router = 0; router < s_routers; ++router) {
+            m_processes.push_back(std::make_unique<Process>(router, 0));
+        }
+    }
+
+    Process &process(std::size_t router)
+    {
+        return *m_processes.at(router);
+    }
+
+    MemoryRows &store()
+    {
+        return m_store;
+    }
+
+    /// Time passes everywhere, except for a suspended router, whose steady clock stands still.
+    void pass(Duration time, std::optional<std::size_t> suspended)
+    {
+        m_storeNow += std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+        for (std::size_t router = 0; router < s_routers; ++router) {
+            if (suspended != router) {
+                process(router).now += time;
+            }
+        }
+    }
+
+    void read(std::size_t router)
+    {
+        process(router).holding.loaded(m_store.read(TeamHolding::s_table, "team", m_storeNow), process(router).now);
+    }
+
+    /// Keeps what a read would have seen now, to be answered later.
+    void rememberRead()
+    {
+        m_remembered = m_store.read(TeamHolding::s_table, "team", m_storeNow);
+    }
+
+    void staleRead(std::size_t router)
+    {
+        if (m_remembered) {
+            process(router).holding.loaded(*m_remembered, process(router).now);
+        }
+    }
+
+    enum class Fate {
+        Answered,
+        Declined,
+        LostBefore,
+        LostAfter,
+        Late,
+    };
+
+    void flush(std::size_t router, Fate fate)
+    {
+        Process &sender = process(router);
+        const auto transaction = sender.holding.planFlush(s_routers, sender.now);
+        if (!transaction) {
+            return;
+        }
+        if (fate == Fate::Declined) {
+            sender.holding.flushDeclined();
+            return;
+        }
+        if (fate == Fate::Late) {
+            m_late.push_back(*transaction);
+        }
+        if (fate == Fate::LostBefore || fate == Fate::Late) {
+            sender.holding.flushLost();
+            return;
+        }
+        const auto verdict = m_store.transact(*transaction, m_storeNow);
+        RC_ASSERT(verdict.ok());
+        if (fate == Fate::LostAfter) {
+            sender.holding.flushLost();
+        } else {
+            sender.holding.flushAnswered(*verdict, sender.now);
+        }
+    }
+
+    /// A transaction whose sender waits no longer takes effect, if its conditions still hold.
+    void deliverLate()
+    {
+        if (!m_late.empty()) {
+            RC_ASSERT(m_store.transact(m_late.front(), m_storeNow).ok());
+            m_late.erase(m_late.begin());
+        }
+    }
+
+    /// A process dies; the next one at its address knows nothing. All that it had reserved may have been used.
+    void replace(std::size_t router)
+    {
+        m_spentByDead += process(router).holding.committed();
+        const Instant now = process(router).now;
+        m_processes[router] = std::make_unique<Process>(router, ++m_lives);
+        process(router).now = now + ms(5);
+        m_storeNow += 5;
+    }
+
+    Tokens spent() const
+    {
+        Tokens sum = m_spentByDead;
+        for (const auto &process : m_processes) {
+            sum += process->holding.committed();
+        }
+        return sum;
+    }
+
+private:
+    MemoryRows m_store;
+    StoreTimeMs m_storeNow = 1000;
+    std::vector<std::unique_ptr<Process>> m_processes;
+    std::vector<RowTransaction> m_late;
+    std::optional<RowsRead> m_remembered;
+    Tokens m_spentByDead = 0;
+    std::size_t m_lives = 0;
+};
+
+void reserve(Process &process, Tokens bound)
+{
+    if (!process.holding.reserve(bound, process.now)) {
+        process.reserved.push_back(bound);
+    }
+}
+
+/// Commits all that the process may commit now.
+void reserveAll(Process &process)
+{
+    reserve(process, std::max<Tokens>(1, process.holding.available(process.now)));
+}
+
+void settle(Process &process, Tokens used)
+{
+    if (!process.reserved.empty()) {
+        const Tokens bound = process.reserved.back();
+        process.reserved.pop_back();
+        process.holding.settle(bound, std::min(bound, used), process.now);
+    }
+}
+
+/// One random event.
+void step(Fleet &fleet)
+{
+    const auto router = *rc::gen::inRange<std::size_t>(0, s_routers);
+    switch (*rc::gen::inRange(0, 13)) {
+    case 0:
+        reserveAll(fleet.process(router));
+        break;
+    case 1:
+    case 2:
+        reserve(fleet.process(router), *rc::gen::inRange<Tokens>(1, 9000));
+        break;
+    case 3:
+    case 4:
+        settle(fleet.process(router), *rc::gen::inRange<Tokens>(0, 9000));
+        break;
+    case 5:
+    case 6:
+        fleet.flush(router, Fleet::Fate::Answered);
+        break;
+    case 7:
+        fleet.flush(router, static_cast<Fleet::Fate>(*rc::gen::inRange(1, 5)));
+        break;
+    case 8:
+        fleet.read(router);
+        break;
+    case 9:
+        fleet.pass(ms(*rc::gen::inRange(1, 4000)),
+                   *rc::gen::arbitrary<bool>() ? std::optional<std::size_t>(router) : std::nullopt);
+        break;
+    case 10:
+        fleet.deliverLate();
+        break;
+    case 11:
+        *rc::gen::arbitrary<bool>() ? fleet.rememberRead() : fleet.staleRead(router);
+        break;
+    default:
+        fleet.replace(router);
+        break;
+    }
+}
+
+/// Every process commits all it may, dies, and leaves its successor to recover what it can, until nobody gets anything more: a token that
+/// was returned twice is spent here.
+void spendEverything(Fleet &fleet)
+{
+    constexpr int s_rounds = 4;
+    for (int round = 0; round < s_rounds; ++round) {
+        for (std::size_t router = 0; router < s_routers; ++router) {
+            fleet.flush(router, Fleet::Fate::Answered);
+            fleet.pass(ms(1500), std::nullopt);
+            fleet.flush(router, static_cast<Fleet::Fate>(*rc::gen::inRange(0, 5)));
+            fleet.pass(ms(1500), std::nullopt);
+            reserveAll(fleet.process(router));
+            fleet.deliverLate();
+            fleet.replace(router);
+            fleet.read(router);
+            fleet.flush(router, Fleet::Fate::Answered);
+            fleet.flush(router, Fleet::Fate::Answered);
+        }
+    }
+}
+
+/// A router alone with the store, past its first read and draw.
+struct Single {
+    Single()
+    {
+        fleet.read(0);
+        fleet.flush(0, Fleet::Fate::Answered);
+    }
+
+    Fleet fleet;
+    TeamHolding &holding = fleet.process(0).holding;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(TeamHoldingTest)
+
+// A team is billed more than it paid for. Flushes are lost, take effect late or twice, reads are old, processes die with requests in flight,
+// are suspended, and are followed by successors that recover what is left: whatever the order, the commitments of all processes that ever
+// lived stay within the prepaid amount.
+BOOST_AUTO_TEST_CASE(neverSpendsMoreThanPrepaid)
+{
+    BOOST_TEST(rc::check("commitments of the living and the dead stay within the prepaid amount", [] {
+        Fleet fleet;
+        const auto steps = *rc::gen::inRange(1, 250);
+        for (int count = 0; count < steps; ++count) {
+            step(fleet);
+            RC_ASSERT(fleet.spent() <= s_prepaid);
+        }
+        spendEverything(fleet);
+        RC_ASSERT(fleet.spent() <= s_prepaid);
+    }));
+}
+
+// A router refuses a team for the rest of the day although its budget is nearly whole. While the store rebuilds its history it answers reads
+// with an older state; the router took the row that it did not find there for recovered by a successor and stopped spending for good.
+BOOST_AUTO_TEST_CASE(oldReadDoesNotFence)
+{
+    Fleet fleet;
+    fleet.rememberRead();
+    fleet.read(0);
+    fleet.flush(0, Fleet::Fate::Answered);
+    TeamHolding &holding = fleet.process(0).holding;
+    const Tokens granted = holding.granted();
+    BOOST_TEST(granted > 0);
+    fleet.staleRead(0);
+    BOOST_TEST(!holding.fenced());
+    BOOST_TEST(holding.granted() == granted);
+}
+
+// A router dies a moment after a flush, with most of what it held unused. Its successor gets nearly all of it back into the pool at once:
+// only what the predecessor could have committed since its last flush stays counted as spent.
+BOOST_AUTO_TEST_CASE(successorReturnsMostOfWhatWasHeld)
+{
+    Single single;
+    const Tokens held = single.holding.granted();
+    single.fleet.pass(ms(500), std::nullopt);
+    single.fleet.replace(0);
+    single.fleet.read(0);
+    single.fleet.flush(0, Fleet::Fate::Answered);
+    TeamHolding &successor = single.fleet.process(0).holding;
+    BOOST_TEST(!successor.fenced());
+    const Tokens lost = s_prepaid - successor.remainingAnywhere();
+    BOOST_TEST(lost > 0);
+    BOOST_TEST(lost < held / 4);
+}
+
+// A process lives on although another one has taken its address and its row: it commits nothing further once the store tells it so.
+BOOST_AUTO_TEST_CASE(fencedByItsSuccessor)
+{
+    Single single;
+    Process successor(0, 99);
+    successor.now = single.fleet.process(0).now;
+    successor.holding.loaded(single.fleet.store().read(TeamHolding::s_table, "team", 1500), successor.now);
+    const auto transaction = successor.holding.planFlush(s_routers, successor.now);
+    BOOST_REQUIRE(transaction.has_value());
+    const auto verdict = single.fleet.store().transact(*transaction, 1500);
+    BOOST_REQUIRE(verdict.ok());
+    BOOST_TEST(verdict->applied);
+    single.fleet.flush(0, Fleet::Fate::Answered);
+    BOOST_TEST(single.holding.fenced());
+    BOOST_TEST(single.holding.available(single.fleet.process(0).now) == 0);
+}
+
+// A flush takes effect, its answer is lost, and the router sends it again: the store turns the copy down, and the router takes the row for
+// its own instead of drawing a second time.
+BOOST_AUTO_TEST_CASE(lostAnswerIsRecognised)
+{
+    Fleet fleet;
+    fleet.read(0);
+    fleet.flush(0, Fleet::Fate::LostAfter);
+    TeamHolding &holding = fleet.process(0).holding;
+    BOOST_TEST(holding.granted() == 0);
+    fleet.flush(0, Fleet::Fate::Answered);
+    BOOST_TEST(holding.granted() > 0);
+    BOOST_TEST(!holding.fenced());
+    BOOST_TEST(holding.remainingAnywhere() == s_prepaid);
+}
+
+// A router that ends in good order leaves nothing behind but what it spent.
+BOOST_AUTO_TEST_CASE(closingReturnsEverything)
+{
+    Single single;
+    Process &process = single.fleet.process(0);
+    reserve(process, 500);
+    settle(process, 200);
+    single.holding.beginClose();
+    single.fleet.flush(0, Fleet::Fate::Answered);
+    BOOST_TEST(single.holding.closed());
+    single.fleet.read(1);
+    BOOST_TEST(single.fleet.process(1).holding.remainingAnywhere() == s_prepaid - 200);
+}
+
+// The operator lowers a team's prepaid amount below what routers hold: what is unused goes back, and nothing more is drawn.
+BOOST_AUTO_TEST_CASE(loweredPrepaidTakesHoldingsBack)
+{
+    Single single;
+    const Tokens granted = single.holding.granted();
+    single.holding.setPrepaid({.prepaid = granted / 2, .planVersion = 2});
+    single.fleet.pass(ms(1000), std::nullopt);
+    single.fleet.flush(0, Fleet::Fate::Answered);
+    BOOST_TEST(single.holding.granted() <= granted / 2);
+}
+
+// The budget has nothing left: a request is told so, and not that it should try again at once.
+BOOST_AUTO_TEST_CASE(exhaustedIsToldApartFromNotHeld)
+{
+    Single single;
+    Process &process = single.fleet.process(0);
+    const auto tooMuch = single.holding.reserve(s_prepaid + 1, process.now);
+    BOOST_TEST((tooMuch == HoldingRefusal::Exhausted));
+    const auto notHeld = single.holding.reserve(single.holding.granted() + 1, process.now);
+    BOOST_TEST((notHeld == HoldingRefusal::NotHeld));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
