Holdings in proportion to demand, first form

Cause: routers with little demand kept the worth of the largest requests each, and a starving one could not show it. Change: each holder states its demand, refusals included; when a budget is scarce, holdings are shared by demand.

--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -14,8 +14,14 @@
 constexpr std::string_view s_poolKey = "pool";
 constexpr std::string_view s_holderPrefix = "holder/";
 constexpr double s_msPerSecond = 1000;
-/// Holdings cover the two largest requests besides the demand, so that one of them does not wait for a flush.
+/// A holder may commit this many of its largest requests at once, so that one of them does not wait for a flush.
 constexpr Tokens s_largestRequests = 2;
+/// A holding covers this many usual requests besides its demand over time: demand comes in whole requests.
+constexpr Tokens s_usualRequests = 3;
+/// Weight of the newest request in the mean use of what is reserved, and the mean that is assumed before the first: output limits are far
+/// above what is generated.
+constexpr double s_useWeight = 0.03;
+constexpr double s_usedShareAtFirst = 0.6;
 
 std::int64_t whole(const boost::json::object &object, std::string_view name)
 {
@@ -39,6 +45,7 @@
                                .committed = whole(object, "committed"),
                                .burst = whole(object, "burst"),
                                .rate = whole(object, "rate"),
+                               .demand = whole(object, "demand"),
                                .baseline = whole(object, "baseline_ms")};
     const auto *incarnation = object.if_contains("incarnation");
     if (incarnation != nullptr && incarnation->is_string()) {
@@ -56,6 +63,7 @@
                                                       {"committed", row.committed},
                                                       {"burst", row.burst},
                                                       {"rate", row.rate},
+                                                      {"demand", row.demand},
                                                       {"baseline_ms", row.baseline}});
 }
 
@@ -155,10 +163,17 @@
     }
 }
 
-std::optional<HoldingRefusal> TeamHolding::reserve(Tokens bound, Instant now)
+void TeamHolding::noteRequest(Tokens bound, Instant now)
 {
     m_largestBound = std::max(m_largestBound, bound);
     m_demand.addRequest(bound);
+    const double usedShare = m_boundSum > 0 ? m_usedSum / m_boundSum : s_usedShareAtFirst;
+    m_demand.addUse(fraction(usedShare, bound), now);
+    m_askedSinceRead = true;
+}
+
+std::optional<HoldingRefusal> TeamHolding::reserve(Tokens bound, Instant now)
+{
     if (bound <= available(now)) {
         m_reserved += bound;
         return std::nullopt;
@@ -171,9 +186,12 @@
 
 void TeamHolding::settle(Tokens bound, Tokens used, Instant now)
 {
+    const Tokens counted = std::min(used, bound);
     m_reserved -= bound;
-    m_settled += std::min(used, bound);
-    m_demand.addUse(std::min(used, bound), now);
+    m_settled += counted;
+    m_boundSum = (1 - s_useWeight) * m_boundSum + static_cast<double>(bound);
+    m_usedSum = (1 - s_useWeight) * m_usedSum + static_cast<double>(counted);
+    m_demand.addUse(0, now);
 }
 
 void TeamHolding::setPrepaid(const PrepaidStatement &statement)
@@ -185,10 +203,12 @@
 
 bool TeamHolding::wantsRead(Instant now) const
 {
-    if (!m_loaded) {
+    if (!m_loaded || !m_lastRead) {
         return true;
     }
-    return m_unmetSinceRead > 0 && m_lastRead && now - *m_lastRead >= m_options.policy.readInterval;
+    const Duration age = now - *m_lastRead;
+    const bool urgent = m_unmetSinceRead > 0 && age >= m_options.policy.urgentInterval;
+    return urgent || (m_askedSinceRead && age >= m_options.policy.readInterval);
 }
 
 void TeamHolding::noteStoreTime(StoreTimeMs time, Instant now)
@@ -211,7 +231,10 @@
     noteStoreTime(read.storeTime, now);
     m_lastRead = now;
     m_unmetSinceRead = 0;
+    m_askedSinceRead = false;
     m_unusedByOthers = 0;
+    m_unusedByActive = 0;
+    m_demandOfActive = 0;
     const StoredRow *own = nullptr;
     for (const StoredRow &row : read.rows) {
         if (row.address.key == s_poolKey) {
@@ -220,7 +243,10 @@
             own = &row;
         } else {
             const HolderRow other = holderRowFrom(row);
+            const bool active = std::chrono::milliseconds(read.storeTime - other.baseline) < m_options.policy.staleAfter;
             m_unusedByOthers += other.granted - other.committed;
+            m_unusedByActive += active ? other.granted - other.committed : 0;
+            m_demandOfActive += active ? other.demand : 0;
         }
     }
     if (!m_inFlight && own != nullptr) {
@@ -269,25 +295,32 @@
     m_predecessor.reset();
 }
 
+double TeamHolding::demand(Instant now) const
+{
+    return m_demand.rateSince(m_servingSince.value_or(now), now);
+}
+
+Tokens TeamHolding::typicalUse() const
+{
+    const double usedShare = m_boundSum > 0 ? m_usedSum / m_boundSum : s_usedShareAtFirst;
+    return static_cast<Tokens>(usedShare * m_demand.averageBound());
+}
+
 Tokens TeamHolding::aim(std::size_t routers, Instant now) const
 {
     const HoldingPolicy &policy = m_options.policy;
-    if (m_closing) {
-        return 0;
-    }
-    const Instant since = m_servingSince.value_or(now);
-    const double demand = m_demand.rateSince(since, now);
-    const auto largest = std::min(s_largestRequests * m_largestBound, prepaid() / 10);
-    const auto covering = [&](Duration span) {
-        return static_cast<Tokens>(demand * seconds(span)) + (demand > 0 ? largest : 0);
-    };
-    const bool scarce = freeInPool() < static_cast<Tokens>(routers) * std::max<Tokens>(m_largestBound, 1);
-    if (scarce && m_row) {
-        return covering(policy.scarceHorizon);
-    }
+    const double own = demand(now);
+    const auto ahead = static_cast<Tokens>(own * seconds(policy.horizon));
     const bool learned = m_servingSince && now - *m_servingSince >= policy.learnFor;
     const Tokens initial = learned ? 0 : fraction(policy.initialShare, prepaid()) / static_cast<Tokens>(routers);
-    return std::max(initial, covering(policy.horizon));
+    const Tokens wanted = std::max(initial, own > 0 ? ahead + s_usualRequests * typicalUse() : 0);
+    if (!learned || own <= 0) {
+        return wanted;
+    }
+    const Tokens held = m_row ? m_row->row.granted - committed() : 0;
+    const Tokens left = std::max<Tokens>(0, freeInPool() + m_unusedByActive + held);
+    const double ownPart = own / (own + static_cast<double>(m_demandOfActive));
+    return std::min(wanted, fraction(policy.scarceShare * ownPart, left));
 }
 
 Tokens TeamHolding::wantedChange(std::size_t routers, Instant now) const
@@ -303,18 +336,16 @@
         return -std::min(held, -free);
     }
     const Tokens goal = aim(routers, now);
-    const auto low = fraction(policy.refillBelow, goal);
-    const auto high = fraction(policy.surplusFactor, goal) + s_largestRequests * m_largestBound;
-    if (held > high) {
-        return goal - held;
+    const Tokens keep = std::max(goal, m_unmet);
+    if (held > fraction(policy.surplusFactor, keep) + typicalUse()) {
+        return keep - held;
     }
-    if (held >= low && m_unmet <= held) {
+    if (held >= fraction(policy.refillBelow, goal) && held >= m_unmet) {
         return 0;
     }
-    const Tokens want = std::max(goal, m_unmet) - held;
-    const Tokens share = std::max(free / static_cast<Tokens>(routers), std::min(free, m_unmet));
-    const Tokens change = std::min(want, share);
-    return change < fraction(policy.smallestChange, goal) && m_unmet <= held ? 0 : std::max<Tokens>(0, change);
+    const Tokens change = std::min(keep - held, free);
+    const bool worthwhile = change >= fraction(policy.smallestChange, goal) || held < m_unmet;
+    return worthwhile ? std::max<Tokens>(0, change) : 0;
 }
 
 std::optional<Instant> TeamHolding::nextFlush(std::size_t routers, Instant now) const
@@ -349,6 +380,7 @@
             .committed = committed(),
             .burst = fraction(m_options.policy.burstShare, unused) + s_largestRequests * m_largestBound,
             .rate = static_cast<Tokens>(pace),
+            .demand = static_cast<Tokens>(demand(now)),
             .baseline = storeTimeAtLeast(now)};
 }
 
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -18,30 +18,31 @@
     /// A router aims to hold this much of its own demand. Cuts from the store last up to about nine seconds where the fleet runs today, and
     /// demand is not even; what is held beyond that is missing elsewhere.
     Duration horizon = std::chrono::seconds(11);
-    /// When the pool cannot fill every router's aim, holdings cover only this much: near the end of a budget tokens that lie idle at one router
-    /// are refusals at another.
-    Duration scarceHorizon = std::chrono::seconds(4);
     /// Before a router has seen any demand of a team, all routers together hold this share of the budget: a cut in the first seconds must not
     /// find them empty.
     double initialShare = 0.4;
-    /// Demand is trusted, and what was drawn without it returned, once the router has served the team for this long.
+    /// Demand is trusted, and what was drawn without it returned, once the router has served callers for this long.
     Duration learnFor = std::chrono::seconds(5);
-    /// Holdings above this multiple of the aim go back.
-    double surplusFactor = 1.6;
-    /// A draw is made when what is held falls below this part of the aim.
+    /// When the budget cannot fill every router's aim, this part of what is left is held in proportion to demand. The rest stays in the pool, for
+    /// requests that are larger than their router's part.
+    double scarceShare = 0.8;
+    /// Holdings above this multiple of the aim go back, and a draw is made below that part of it.
+    double surplusFactor = 1.2;
     double refillBelow = 0.85;
     /// Demand is averaged over this time: long enough for tens of requests, short enough to follow a team that triples within seconds.
-    Duration demandMemory = std::chrono::seconds(6);
+    Duration demandMemory = std::chrono::seconds(5);
     /// A holding that changed is written this often. A dead router's successor must assume spending since the last write.
-    Duration flushInterval = std::chrono::milliseconds(700);
+    Duration flushInterval = std::chrono::milliseconds(900);
     /// A holding that did not change is still written this often, or its successor would have to assume that all of it was spent.
     Duration refreshInterval = std::chrono::seconds(3);
-    /// What others hold is read again this often at most, when a refusal hinges on it.
-    Duration readInterval = std::chrono::milliseconds(500);
+    /// What others hold and demand is read this often while there is any demand here.
+    Duration readInterval = std::chrono::milliseconds(900);
+    /// A request that cannot be reserved makes the holding read and flush at once, but no more often than this.
+    Duration urgentInterval = std::chrono::milliseconds(120);
+    /// A holder whose row is older takes part in nothing that is shared out now: it is dead, or cut off with what it has.
+    Duration staleAfter = std::chrono::seconds(6);
     /// Changes below this part of the aim are not worth a conflict over the pool's row.
     double smallestChange = 0.05;
-    /// A request that cannot be reserved makes the holding flush at once, but no more often than this.
-    Duration urgentInterval = std::chrono::milliseconds(120);
     /// Between two flushes a holder may commit at most this part of what it holds at once, besides two of the largest requests.
     double burstShare = 0.12;
     /// And as time passes, what it holds over this period. Longer than the horizon would refuse work in a cut that the holding could cover.
@@ -90,6 +91,9 @@
     /// The router serves callers since then; what it has not been asked for since says something about demand.
     void servingSince(Instant since);
 
+    /// A request arrived: counts as demand, whether or not it can be served.
+    void noteRequest(Tokens bound, Instant now);
+
     /// Sets a request's worst case aside.
     std::optional<HoldingRefusal> reserve(Tokens bound, Instant now);
 
@@ -173,6 +177,8 @@
         Tokens burst = 0;
         /// Tokens a second.
         Tokens rate = 0;
+        /// Tokens a second that the holder's requests probably use, those that it had to refuse included.
+        Tokens demand = 0;
         /// Store time that is not later than the start of the pace.
         StoreTimeMs baseline = 0;
 
@@ -213,6 +219,8 @@
     Tokens paceLimit(Instant now) const;
     Tokens prepaid() const;
     Tokens freeInPool() const;
+    Tokens typicalUse() const;
+    double demand(Instant now) const;
     Tokens aim(std::size_t routers, Instant now) const;
     Tokens wantedChange(std::size_t routers, Instant now) const;
     StoreTimeMs storeTimeAtLeast(Instant now) const;
@@ -228,6 +236,9 @@
     Tokens m_settled = 0;
     Tokens m_reserved = 0;
     Tokens m_largestBound = 0;
+    /// Decaying sums of what requests reserved and what they used of it.
+    double m_boundSum = 0;
+    double m_usedSum = 0;
     std::optional<Instant> m_servingSince;
 
     bool m_loaded = false;
@@ -241,8 +252,10 @@
     std::optional<Pace> m_row;
     std::uint64_t m_rowVersion = 0;
     std::optional<HolderRow> m_predecessor;
-    /// Granted to the others but not committed by them, as last read.
+    /// As last read: granted to the others but not committed by them; the part of it that is with holders who take part now; and their demand.
     Tokens m_unusedByOthers = 0;
+    Tokens m_unusedByActive = 0;
+    Tokens m_demandOfActive = 0;
 
     /// The store's clock showed at least this much at that instant of this process.
     StoreTimeMs m_storeTime = 0;
@@ -255,6 +268,7 @@
     /// The largest reservation that failed since the last flush, and since the last read.
     Tokens m_unmet = 0;
     Tokens m_unmetSinceRead = 0;
+    bool m_askedSinceRead = false;
 };
 
 }
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -52,6 +52,7 @@
     m_servingSince = m_servingSince.value_or(begun);
     account.holding.servingSince(*m_servingSince);
     const Instant giveUp = begun + m_options.longestWait;
+    account.holding.noteRequest(bound, begun);
     std::optional<HoldingRefusal> refusal = account.holding.reserve(bound, begun);
     while (refusal == HoldingRefusal::NotHeld && account.storeAnswers && steadyNow() < giveUp) {
         account.urgent.cancel();
