--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -32,6 +32,9 @@
     TeamHolding::Options options{
         .team = team, .holder = m_options.holder, .incarnation = m_options.incarnation, .policy = m_options.policy};
     Entry &opened = *m_entries.emplace(team, std::make_unique<Entry>(m_executor, std::move(options))).first->second;
+    if (m_servingSince) {
+        opened.holding.servingSince(*m_servingSince);
+    }
     if (m_onOpened) {
         m_onOpened(opened, team);
     }
@@ -49,8 +52,7 @@
 {
     Entry &account = entry(team);
     const Instant begun = steadyNow();
-    m_servingSince = m_servingSince.value_or(begun);
-    account.holding.servingSince(*m_servingSince);
+    noteServing(begun);
     const Instant giveUp = begun + m_options.longestWait;
     account.holding.noteRequest(bound, begun);
     std::optional<HoldingRefusal> refusal = account.holding.reserve(bound, begun);
@@ -72,6 +74,18 @@
                         .retryAfterMs = exhausted ? m_options.retryAfterExhaustionMs : m_options.retryAfterFlushMs});
 }
 
+void TeamLedger::noteServing(Instant now)
+{
+    if (m_servingSince) {
+        return;
+    }
+    // For every team: one that has sent nothing here since then has no demand here, and what was drawn for it is missing elsewhere.
+    m_servingSince = now;
+    for (const auto &[team, account] : m_entries) {
+        account->holding.servingSince(now);
+    }
+}
+
 void TeamLedger::settle(const std::string &team, Tokens bound, Tokens used)
 {
     Entry &account = entry(team);
--- a/src/budget/teamledger.h
+++ b/src/budget/teamledger.h
@@ -70,6 +70,7 @@
 
 private:
     Entry &entry(const std::string &team);
+    void noteServing(Instant now);
 
     boost::asio::any_io_executor m_executor;
     Options m_options;
