Holdings lose less when their router dies: burst and pace follow usual requests and demand

Cause: after all routers lost power, half of the requests were refused although the budgets were not used up. A holder's burst was two of the largest requests (many times the usual one) and its pace what it held over 8 s, all of which its successor had to count as spent.

Change: the burst is 8% of what is held or two usual requests, a larger request makes the holding flush; the pace is 1.2 times demand, at least what is held over 12 s.

--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -14,8 +14,8 @@
 constexpr std::string_view s_poolKey = "pool";
 constexpr std::string_view s_holderPrefix = "holder/";
 constexpr double s_msPerSecond = 1000;
-/// A holder may commit this many of its largest requests at once, so that one of them does not wait for a flush.
-constexpr Tokens s_largestRequests = 2;
+/// A holder may commit this many usual requests at once, so that two that arrive together need no flush between them.
+constexpr double s_burstRequests = 2;
 /// A holding covers this many usual requests besides its demand over time: demand comes in whole requests.
 constexpr Tokens s_usualRequests = 3;
 /// Weight of the newest request in the mean use of what is reserved, and the mean that is assumed before the first: output limits are far
@@ -165,7 +165,6 @@
 
 void TeamHolding::noteRequest(Tokens bound, Instant now)
 {
-    m_largestBound = std::max(m_largestBound, bound);
     m_demand.addRequest(bound);
     const double usedShare = m_boundSum > 0 ? m_usedSum / m_boundSum : s_usedShareAtFirst;
     m_demand.addUse(fraction(usedShare, bound), now);
@@ -372,13 +371,15 @@
 {
     const Tokens given = (m_row ? m_row->row.granted : 0) + change;
     const Tokens unused = std::max<Tokens>(0, given - committed());
-    const double pace = static_cast<double>(unused) / seconds(m_options.policy.paceSpan);
+    const HoldingPolicy &policy = m_options.policy;
+    const double pace = std::max(policy.paceOfDemand * demand(now), static_cast<double>(unused) / seconds(policy.paceSpan));
+    const Tokens usual = std::max(fraction(s_burstRequests, static_cast<Tokens>(m_demand.averageBound())), m_unmet);
     return {.incarnation = m_options.incarnation,
             .flush = m_flush,
             .granted = given,
             .settled = m_settled,
             .committed = committed(),
-            .burst = fraction(m_options.policy.burstShare, unused) + s_largestRequests * m_largestBound,
+            .burst = std::max(fraction(policy.burstShare, unused), usual),
             .rate = static_cast<Tokens>(pace),
             .demand = static_cast<Tokens>(demand(now)),
             .baseline = storeTimeAtLeast(now)};
@@ -394,9 +395,9 @@
         return m_inFlight->transaction;
     }
     const Tokens change = wantedChange(routers, now);
-    m_unmet = 0;
     ++m_flush;
     Flush flush{.pace = {.row = rowAfter(change, now), .start = now}};
+    m_unmet = 0;
     flush.removesRow = m_closing && m_reserved == 0;
     flush.transaction.conditions.push_back({.address = ownAddress(), .version = m_rowVersion});
     if (change != 0 || m_predecessor || m_poolVersion == 0 || flush.removesRow) {
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -43,10 +43,13 @@
     Duration staleAfter = std::chrono::seconds(6);
     /// Changes below this part of the aim are not worth a conflict over the pool's row.
     double smallestChange = 0.05;
-    /// Between two flushes a holder may commit at most this part of what it holds at once, besides two of the largest requests.
-    double burstShare = 0.12;
-    /// And as time passes, what it holds over this period. Longer than the horizon would refuse work in a cut that the holding could cover.
-    Duration paceSpan = std::chrono::seconds(8);
+    /// Between two flushes a holder may commit at once this part of what it holds, or two usual requests if that is more. A larger request, or
+    /// a burst, makes it flush again; what stands here is lost when it dies.
+    double burstShare = 0.08;
+    /// As time passes it may commit this multiple of its demand, and in any case what it holds over this span: demand of a few requests a
+    /// second is known roughly, and in a cut the holding must be of use.
+    double paceOfDemand = 1.2;
+    Duration paceSpan = std::chrono::seconds(12);
 };
 
 /// A team's prepaid tokens as the newest routing plan states them.
@@ -235,7 +238,6 @@
     PrepaidStatement m_statement;
     Tokens m_settled = 0;
     Tokens m_reserved = 0;
-    Tokens m_largestBound = 0;
     /// Decaying sums of what requests reserved and what they used of it.
     double m_boundSum = 0;
     double m_usedSum = 0;
