--- a/src/budget/ledgerkeeper.h
+++ b/src/budget/ledgerkeeper.h
@@ -67,8 +67,7 @@
         const std::optional<Instant> due = entry.holding.nextFlush(m_options.routers(), now);
         const Duration wait = due ? *due - now : s_idlePause;
         if (wait > Duration::zero()) {
-            entry.urgent.expires_after(std::min(wait, s_idlePause));
-            co_await entry.urgent.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            co_await entry.urgent.wait(std::min(wait, s_idlePause));
         }
     }
 
@@ -80,7 +79,7 @@
             co_return false;
         }
         const bool taken = entry.holding.loaded(*rows, steadyNow());
-        entry.answered.cancel();
+        entry.answered.notify();
         co_return taken;
     }
 
@@ -93,7 +92,7 @@
         const absl::StatusOr<RowVerdict> verdict = co_await m_store.transact(*transaction);
         if (verdict.ok()) {
             entry.holding.flushAnswered(*verdict, steadyNow());
-            entry.answered.cancel();
+            entry.answered.notify();
             co_return true;
         }
         if (toFailure(verdict.status()).ran == Ran::No) {
@@ -113,7 +112,7 @@
         }
         entry.storeAnswers = answers;
         if (!answers) {
-            entry.answered.cancel();
+            entry.answered.notify();
         }
     }
 
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboohold {
 
@@ -153,7 +154,7 @@
 Tokens TeamHolding::remainingAnywhere() const
 {
     const Tokens ownUnused = m_row ? m_row->row.granted - committed() : 0;
-    return freeInPool() + m_unusedByOthers + ownUnused;
+    return freeInPool() + m_unusedByOthers + ownUnused + m_borrowed;
 }
 
 void TeamHolding::servingSince(Instant since)
@@ -171,11 +172,15 @@
     m_askedSinceRead = true;
 }
 
-std::optional<HoldingRefusal> TeamHolding::reserve(Tokens bound, Instant now)
+std::variant<Reservation, HoldingRefusal> TeamHolding::reserve(Tokens bound, Instant now)
 {
     if (bound <= available(now)) {
         m_reserved += bound;
-        return std::nullopt;
+        return Reservation{.bound = bound};
+    }
+    if (bound <= m_borrowed) {
+        m_borrowed -= bound;
+        return Reservation{.bound = bound, .borrowed = true};
     }
     m_unmet = std::max(m_unmet, bound);
     m_unmetSinceRead = std::max(m_unmetSinceRead, bound);
@@ -183,16 +188,39 @@
     return othersKnown && remainingAnywhere() < bound ? HoldingRefusal::Exhausted : HoldingRefusal::NotHeld;
 }
 
-void TeamHolding::settle(Tokens bound, Tokens used, Instant now)
+void TeamHolding::settle(const Reservation &reservation, Tokens used, Instant now)
 {
-    const Tokens counted = std::min(used, bound);
-    m_reserved -= bound;
-    m_settled += counted;
-    m_boundSum = (1 - s_useWeight) * m_boundSum + static_cast<double>(bound);
+    const Tokens counted = std::min(used, reservation.bound);
+    if (reservation.borrowed) {
+        m_borrowed += reservation.bound - counted;
+    } else {
+        m_reserved -= reservation.bound;
+        m_settled += counted;
+    }
+    m_boundSum = (1 - s_useWeight) * m_boundSum + static_cast<double>(reservation.bound);
     m_usedSum = (1 - s_useWeight) * m_usedSum + static_cast<double>(counted);
     m_demand.addUse(0, now);
 }
 
+Tokens TeamHolding::lend(Tokens asked, Instant now)
+{
+    const Tokens keep = static_cast<Tokens>(demand(now) * seconds(m_options.policy.lendKeep)) + typicalUse();
+    const Tokens lent = std::clamp<Tokens>(available(now) - keep, 0, std::max<Tokens>(0, asked));
+    m_settled += lent;
+    return lent;
+}
+
+void TeamHolding::borrow(Tokens tokens)
+{
+    m_borrowed += tokens;
+}
+
+Tokens TeamHolding::loanWanted(Tokens bound, Instant now) const
+{
+    const auto ahead = static_cast<Tokens>(demand(now) * seconds(m_options.policy.borrowAhead));
+    return bound + ahead - m_borrowed;
+}
+
 void TeamHolding::setPrepaid(const PrepaidStatement &statement)
 {
     if (statement.planVersion >= m_statement.planVersion) {
@@ -363,7 +391,7 @@
     if (m_closing || m_unmet > 0) {
         return last + policy.urgentInterval;
     }
-    const bool changed = m_inFlight || m_predecessor || !m_row || m_row->row.committed != committed() || wantedChange(routers, now) != 0;
+    const bool changed = m_inFlight || m_borrowed > 0 || m_predecessor || !m_row || m_row->row.committed != committed() || wantedChange(routers, now) != 0;
     return last + (changed ? policy.flushInterval : policy.refreshInterval);
 }
 
@@ -400,10 +428,11 @@
     m_unmet = 0;
     flush.removesRow = m_closing && m_reserved == 0;
     flush.transaction.conditions.push_back({.address = ownAddress(), .version = m_rowVersion});
-    if (change != 0 || m_predecessor || m_poolVersion == 0 || flush.removesRow) {
+    if (change != 0 || m_predecessor || m_poolVersion == 0 || flush.removesRow || m_borrowed > 0) {
+        flush.returned = std::exchange(m_borrowed, 0);
         PoolRow pool{.prepaid = prepaid(),
                      .planVersion = std::max(m_pool.planVersion, m_statement.planVersion),
-                     .allocated = m_pool.allocated + change};
+                     .allocated = m_pool.allocated + change - flush.returned};
         if (m_predecessor) {
             pool.allocated -= m_predecessor->granted - m_predecessor->mostCommitted(m_storeTime);
         }
@@ -448,21 +477,29 @@
     const bool tookEffectBefore = m_row && m_row->row.flush == m_inFlight->pace.row.flush;
     if (tookEffectBefore) {
         m_predecessor.reset();
+        m_inFlight->returned = 0;
     }
     if (!ownSeen && m_rowVersion != 0) {
         const bool removedByThis = m_inFlight->removesRow;
         rowGone();
         m_fenced = m_fenced && !removedByThis;
+        m_inFlight->returned = removedByThis ? 0 : m_inFlight->returned;
     }
-    m_inFlight.reset();
+    withdrawFlush();
     // The next attempt need not wait: the rows it was planned on were only out of date.
     m_lastFlush = now - m_options.policy.flushInterval;
 }
 
+void TeamHolding::withdrawFlush()
+{
+    m_borrowed += m_inFlight->returned;
+    m_inFlight.reset();
+}
+
 void TeamHolding::flushDeclined()
 {
     if (m_inFlight && !m_inFlight->lost) {
-        m_inFlight.reset();
+        withdrawFlush();
     }
 }
 
@@ -475,7 +512,7 @@
 
 bool TeamHolding::closed() const
 {
-    return m_fenced || (m_loaded && !m_row && !m_inFlight);
+    return m_fenced || (m_loaded && !m_row && !m_inFlight && m_borrowed == 0);
 }
 
 }
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace bamboohold {
@@ -50,6 +51,10 @@
     /// second is known roughly, and in a cut the holding must be of use.
     double paceOfDemand = 1.2;
     Duration paceSpan = std::chrono::seconds(12);
+    /// A lender keeps this much of its own demand, and a borrower asks for this much of its own beyond the request at hand, so that it does not
+    /// ask for each request anew.
+    Duration lendKeep = std::chrono::seconds(2);
+    Duration borrowAhead = std::chrono::seconds(1);
 };
 
 /// A team's prepaid tokens as the newest routing plan states them.
@@ -66,6 +71,13 @@
     NotHeld,
 };
 
+/// Tokens set aside for one request.
+struct Reservation {
+    Tokens bound = 0;
+    /// Out of what peers lent.
+    bool borrowed = false;
+};
+
 /// What one router holds of one team's prepaid tokens, in the store and in memory.
 ///
 /// The store has a pool row for each team (what was handed out) and a row for each holder (what it was given, what it has committed). Tokens
@@ -76,6 +88,9 @@
 /// which the holder counts, and the holder keeps to every row that the store may have, also to rows whose write was not acknowledged. A
 /// suspended holder's steady clock stands still, so that it commits less, never more, than the successor assumes.
 ///
+/// While the store is out of reach, routers lend each other what they hold. The lender counts it as spent before it says so, so a loan that is
+/// lost on its way is lost to the team, never spent twice; what the borrower does not need goes into the pool with its next flush.
+///
 /// Pure: time and verdicts come in, transactions go out.
 class TeamHolding
 {
@@ -98,10 +113,19 @@
     void noteRequest(Tokens bound, Instant now);
 
     /// Sets a request's worst case aside.
-    std::optional<HoldingRefusal> reserve(Tokens bound, Instant now);
+    std::variant<Reservation, HoldingRefusal> reserve(Tokens bound, Instant now);
 
     /// Ends a reservation with what was used.
-    void settle(Tokens bound, Tokens used, Instant now);
+    void settle(const Reservation &reservation, Tokens used, Instant now);
+
+    /// Gives a peer up to this much, of what this router does not need itself within moments. Returns how much.
+    Tokens lend(Tokens asked, Instant now);
+
+    /// Takes what a peer gave.
+    void borrow(Tokens tokens);
+
+    /// What to ask of peers when this much cannot be reserved.
+    Tokens loanWanted(Tokens bound, Instant now) const;
 
     /// The plan's newest statement about the team.
     void setPrepaid(const PrepaidStatement &statement);
@@ -140,7 +164,7 @@
     /// Tokens given to this router by the store, as far as it is certain.
     Tokens granted() const;
 
-    /// Tokens spent for good.
+    /// Tokens spent for good, or lent to peers.
     Tokens settled() const
     {
         return m_settled;
@@ -152,7 +176,13 @@
         return m_reserved;
     }
 
-    /// Settled and reserved: what this holder answers for.
+    /// Tokens of peers that are free here.
+    Tokens borrowed() const
+    {
+        return m_borrowed;
+    }
+
+    /// Settled, lent and reserved: what this holder answers for.
     Tokens committed() const
     {
         return m_settled + m_reserved;
@@ -212,6 +242,8 @@
         RowTransaction transaction;
         Pace pace;
         std::optional<PoolRow> pool;
+        /// Borrowed tokens that it puts into the pool.
+        Tokens returned = 0;
         bool removesRow = false;
         /// True while it is unknown whether it took effect; it is sent again unchanged until the store decides.
         bool lost = false;
@@ -232,12 +264,14 @@
     void adoptOwnRow(const StoredRow &row, Instant now);
     void adoptPoolRow(const StoredRow &row);
     void rowGone();
+    void withdrawFlush();
 
     Options m_options;
     DemandMeter m_demand;
     PrepaidStatement m_statement;
     Tokens m_settled = 0;
     Tokens m_reserved = 0;
+    Tokens m_borrowed = 0;
     /// Decaying sums of what requests reserved and what they used of it.
     double m_boundSum = 0;
     double m_usedSum = 0;
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -1,10 +1,11 @@
 #include "budget/teamledger.h"
 
 #include "clock/steadytime.h"
+#include "operations/log.h"
 
 #include <absl/strings/str_cat.h>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 
@@ -45,33 +46,74 @@
 {
     Entry &account = entry(team);
     account.holding.setPrepaid(statement);
-    account.urgent.cancel();
+    account.urgent.notify();
 }
 
-boost::asio::awaitable<absl::Status> TeamLedger::reserve(std::string team, Tokens bound)
+absl::Status TeamLedger::refusalOf(const Entry &account, HoldingRefusal refusal, Tokens bound) const
+{
+    const bool exhausted = refusal == HoldingRefusal::Exhausted;
+    const Tokens available = account.holding.available(steadyNow());
+    const Tokens unspent = account.holding.granted() - account.holding.committed();
+    return toStatus({.kind = exhausted ? FailureKind::BudgetExhausted : FailureKind::BudgetUnreachable,
+                     .detail = absl::StrCat("needs ",
+                                            bound,
+                                            " tokens; may commit ",
+                                            available,
+                                            " of ",
+                                            unspent,
+                                            " held; left in the budget ",
+                                            account.holding.remainingAnywhere(),
+                                            account.storeAnswers ? "" : "; store out of reach"),
+                     .ran = Ran::No,
+                     .retryAfterMs = exhausted ? m_options.retryAfterExhaustionMs : m_options.retryAfterFlushMs});
+}
+
+boost::asio::awaitable<absl::StatusOr<Reservation>> TeamLedger::reserve(std::string team, Tokens bound)
 {
     Entry &account = entry(team);
     const Instant begun = steadyNow();
     noteServing(begun);
-    const Instant giveUp = begun + m_options.longestWait;
     account.holding.noteRequest(bound, begun);
-    std::optional<HoldingRefusal> refusal = account.holding.reserve(bound, begun);
-    while (refusal == HoldingRefusal::NotHeld && account.storeAnswers && steadyNow() < giveUp) {
-        account.urgent.cancel();
-        account.answered.expires_after(giveUp - steadyNow());
-        co_await account.answered.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-        refusal = account.holding.reserve(bound, steadyNow());
-    }
-    if (!refusal) {
-        co_return absl::OkStatus();
+    const Instant giveUp = begun + m_options.longestWait;
+    std::variant<Reservation, HoldingRefusal> result = account.holding.reserve(bound, begun);
+    while (std::holds_alternative<HoldingRefusal>(result)) {
+        const bool hopeless = std::get<HoldingRefusal>(result) == HoldingRefusal::Exhausted;
+        if (hopeless || steadyNow() >= giveUp) {
+            co_return refusalOf(account, std::get<HoldingRefusal>(result), bound);
+        }
+        if (account.storeAnswers) {
+            account.urgent.notify();
+        } else if (!account.borrowing && m_borrow) {
+            boost::asio::co_spawn(m_executor, borrow(account, team, bound), boost::asio::detached);
+        }
+        co_await account.answered.wait(giveUp - steadyNow());
+        result = account.holding.reserve(bound, steadyNow());
     }
-    const bool exhausted = refusal == HoldingRefusal::Exhausted;
-    const Tokens available = account.holding.available(steadyNow());
-    co_return toStatus({.kind = exhausted ? FailureKind::BudgetExhausted : FailureKind::BudgetUnreachable,
-                        .detail = absl::StrCat("needs ", bound, " tokens; held here ", available, ", left in the budget ",
-                                               account.holding.remainingAnywhere()),
-                        .ran = Ran::No,
-                        .retryAfterMs = exhausted ? m_options.retryAfterExhaustionMs : m_options.retryAfterFlushMs});
+    co_return std::get<Reservation>(result);
+}
+
+boost::asio::awaitable<void> TeamLedger::borrow(Entry &account, std::string team, Tokens bound)
+{
+    account.borrowing = true;
+    const Tokens wanted = account.holding.loanWanted(bound, steadyNow());
+    const Tokens lent = co_await m_borrow(team, wanted);
+    account.holding.borrow(lent);
+    account.borrowing = false;
+    logLine(Severity::Info, "budget.borrowed", {{"team", team}, {"wanted", wanted}, {"lent", lent}});
+    account.answered.notify();
+}
+
+Tokens TeamLedger::lend(const std::string &team, Tokens asked)
+{
+    const auto found = m_entries.find(team);
+    const Tokens lent = found == m_entries.end() ? 0 : found->second->holding.lend(asked, steadyNow());
+    logLine(Severity::Info, "budget.lent", {{"team", team}, {"asked", asked}, {"lent", lent}});
+    return lent;
+}
+
+void TeamLedger::onShortage(Borrow borrow)
+{
+    m_borrow = std::move(borrow);
 }
 
 void TeamLedger::noteServing(Instant now)
@@ -86,10 +128,9 @@
     }
 }
 
-void TeamLedger::settle(const std::string &team, Tokens bound, Tokens used)
+void TeamLedger::settle(const std::string &team, const Reservation &reservation, Tokens used)
 {
-    Entry &account = entry(team);
-    account.holding.settle(bound, used, steadyNow());
+    entry(team).holding.settle(reservation, used, steadyNow());
 }
 
 void TeamLedger::onOpened(std::function<void(Entry &, const std::string &)> callback)
@@ -101,7 +142,7 @@
 {
     for (const auto &[team, account] : m_entries) {
         account->holding.beginClose();
-        account->urgent.cancel();
+        account->urgent.notify();
     }
 }
 
--- a/src/budget/teamledger.h
+++ b/src/budget/teamledger.h
@@ -2,11 +2,11 @@
 
 #include "budget/teamholding.h"
 #include "failure/failure.h"
+#include "net/signal.h"
 
-#include <absl/status/status.h>
+#include <absl/status/statusor.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -39,10 +39,12 @@
         Entry(const boost::asio::any_io_executor &executor, TeamHolding::Options options);
 
         TeamHolding holding;
-        /// Cancelled when the store answered, which may admit those who wait.
-        boost::asio::steady_timer answered;
-        /// Cancelled when a flush became more urgent.
-        boost::asio::steady_timer urgent;
+        /// The store or a peer answered, which may admit those who wait.
+        Signal answered;
+        /// A flush became more urgent.
+        Signal urgent;
+        /// A loan is being asked for.
+        bool borrowing = false;
         /// Whether the store answered the last call for this team.
         bool storeAnswers = true;
     };
@@ -53,11 +55,18 @@
     void setPrepaid(const std::string &team, const PrepaidStatement &statement);
 
     /// Reserves a request's worst case. Failures, all not run: BudgetExhausted when the budget cannot cover it, BudgetUnreachable when this
-    /// router does not hold enough now.
-    boost::asio::awaitable<absl::Status> reserve(std::string team, Tokens bound);
+    /// router does not hold enough now and gets no more in time.
+    boost::asio::awaitable<absl::StatusOr<Reservation>> reserve(std::string team, Tokens bound);
 
     /// Ends a reservation with what was used.
-    void settle(const std::string &team, Tokens bound, Tokens used);
+    void settle(const std::string &team, const Reservation &reservation, Tokens used);
+
+    /// Gives a peer tokens of the team; returns how many.
+    Tokens lend(const std::string &team, Tokens asked);
+
+    /// Who asks peers for tokens of a team, and returns what they gave.
+    using Borrow = std::function<boost::asio::awaitable<Tokens>(std::string team, Tokens asked)>;
+    void onShortage(Borrow borrow);
 
     /// Called with each new account, so that someone keeps it in step with the store.
     void onOpened(std::function<void(Entry &, const std::string &team)> callback);
@@ -70,12 +79,15 @@
 
 private:
     Entry &entry(const std::string &team);
+    absl::Status refusalOf(const Entry &account, HoldingRefusal refusal, Tokens bound) const;
+    boost::asio::awaitable<void> borrow(Entry &account, std::string team, Tokens bound);
     void noteServing(Instant now);
 
     boost::asio::any_io_executor m_executor;
     Options m_options;
     std::map<std::string, std::unique_ptr<Entry>, std::less<>> m_entries;
     std::function<void(Entry &, const std::string &)> m_onOpened;
+    Borrow m_borrow;
     std::optional<Instant> m_servingSince;
 };
 
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -2,13 +2,18 @@
 
 #include "budget/ledgerkeeper.h"
 #include "gateway/gateway.h"
+#include "membership/peerlink.h"
+#include "membership/relayedstore.h"
 #include "membership/routerregistry.h"
 #include "store/tablewatcher.h"
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <functional>
+#include <random>
 #include <string>
+#include <vector>
 
 namespace bamboohold {
 
@@ -18,6 +23,8 @@
 class GatewayDaemon
 {
 public:
+    using Relayed = RelayedStore<Store>;
+
     struct Address {
         std::string address;
         std::uint16_t port = 0;
@@ -26,6 +33,9 @@
     struct Options {
         Address callers;
         Address readiness;
+        /// Where this router's link listens for peers, and the links of some that may live already.
+        Address link;
+        std::vector<std::string> seeds;
         /// Port 0: no metrics are served.
         Address metrics;
         std::string metricsPath = "/metrics";
@@ -49,16 +59,28 @@
         : m_pool(pool)
         , m_executor(pool.mainLoop().get_executor())
         , m_options(std::move(options))
-        , m_registry(store, {.router = holder()})
+        , m_link(m_executor, {.self = text(m_options.link), .seeds = m_options.seeds})
+        , m_store(store, m_link)
+        , m_registry(m_store, registryOptions())
         , m_ledger(m_executor, {.holder = holder(), .incarnation = m_options.incarnation, .policy = m_options.holdings})
-        , m_keeper(m_executor, store, m_ledger, {.routers = routerCount()})
+        , m_keeper(m_executor, m_store, m_ledger, {.routers = routerCount()})
         , m_gateway(m_executor, gatewayOptions(), m_ledger, m_metrics)
-        , m_plans(store, planWatch())
-        , m_targets(store, targetWatch())
+        , m_plans(m_store, planWatch())
+        , m_targets(m_store, targetWatch())
         , m_callers(pool, callerOptions(), callerHandler())
         , m_readiness(pool, {.address = m_options.readiness.address, .port = m_options.readiness.port}, readinessHandler())
         , m_metricsServer(pool, {.address = m_options.metrics.address, .port = m_options.metrics.port}, metricsHandler())
     {
+        m_link.serve(
+            [this](wire::PeerCall call) {
+                return servePeer(std::move(call));
+            },
+            [this](const std::string &peer, std::uint64_t version) {
+                hearOfPlan(peer, version);
+            });
+        m_ledger.onShortage([this](std::string team, Tokens asked) {
+            return borrow(std::move(team), asked);
+        });
     }
 
     /// Listens and begins to follow the store.
@@ -75,8 +97,12 @@
                 return opened;
             }
         }
+        if (const absl::Status opened = m_link.open(); !opened.ok()) {
+            return opened;
+        }
         asio::co_spawn(m_executor, m_registry.run(m_options.together), asio::detached);
         asio::co_spawn(m_executor, followPlans(), asio::detached);
+        asio::co_spawn(m_executor, seekFirstPlan(), asio::detached);
         asio::co_spawn(m_executor, m_targets.run(), asio::detached);
         asio::co_spawn(m_executor, expireTargets(), asio::detached);
         logLine(Severity::Info, "router.started", {{"incarnation", m_options.incarnation}, {"callers", holder()}});
@@ -97,11 +123,29 @@
     static constexpr Duration s_rotationTime = std::chrono::milliseconds(2600);
     /// Kept from the grace time for giving budgets back and ending.
     static constexpr Duration s_closeTime = std::chrono::milliseconds(900);
+    /// Peers answer within a few milliseconds.
+    static constexpr Duration s_peerTimeout = std::chrono::milliseconds(120);
+    /// How long the store has to bring a configuration that a peer has already.
+    static constexpr Duration s_planPatience = std::chrono::milliseconds(250);
+    /// Peers asked for one loan. Each of a large fleet holds about as much as the next.
+    static constexpr std::size_t s_lendersAsked = 4;
     static constexpr Duration s_poll = std::chrono::milliseconds(50);
 
+    static std::string text(const Address &address)
+    {
+        return absl::StrCat(address.address, ":", address.port);
+    }
+
     std::string holder() const
     {
-        return absl::StrCat(m_options.callers.address, ":", m_options.callers.port);
+        return text(m_options.callers);
+    }
+
+    typename RouterRegistry<Relayed>::Options registryOptions()
+    {
+        return {.router = text(m_options.link), .onCounted = [this](const std::vector<std::string> &routers) {
+                    m_link.setPeers(routers);
+                }};
     }
 
     std::function<std::size_t()> routerCount() const
@@ -162,7 +206,90 @@
         return m_gateway.plan() != nullptr && m_targetsKnown && !m_draining;
     }
 
-    typename TableWatcher<Store>::Options planWatch()
+    asio::awaitable<wire::PeerAnswer> servePeer(wire::PeerCall call)
+    {
+        wire::PeerAnswer answer;
+        if (call.has_loan()) {
+            answer.mutable_lent()->set_tokens(m_ledger.lend(call.loan().team(), call.loan().tokens()));
+            answer.set_done(true);
+            co_return answer;
+        }
+        if (call.has_plan()) {
+            const std::uint64_t version = m_gateway.plan() ? m_gateway.plan()->version() : 0;
+            answer.set_done(version > call.plan().newer_than());
+            if (answer.done()) {
+                answer.mutable_plan()->set_version(version);
+                answer.mutable_plan()->set_document(m_planDocument);
+            }
+            co_return answer;
+        }
+        answer = co_await m_store.carry(std::move(call));
+        co_return answer;
+    }
+
+    /// Asks peers for tokens, one after the other, until there are enough.
+    asio::awaitable<Tokens> borrow(std::string team, Tokens asked)
+    {
+        Tokens lent = 0;
+        std::vector<std::string> peers = m_link.peers();
+        std::shuffle(peers.begin(), peers.end(), m_random);
+        peers.resize(std::min(peers.size(), s_lendersAsked));
+        for (const std::string &peer : peers) {
+            if (lent >= asked) {
+                break;
+            }
+            wire::PeerCall call;
+            call.mutable_loan()->set_team(team);
+            call.mutable_loan()->set_tokens(asked - lent);
+            const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(peer, std::move(call), s_peerTimeout);
+            lent += answer.ok() ? answer->lent().tokens() : 0;
+        }
+        co_return lent;
+    }
+
+    /// A peer has a newer configuration. Most often the store tells of it within moments; where it does not, the peer does.
+    void hearOfPlan(const std::string &peer, std::uint64_t version)
+    {
+        m_newestHeard = std::max(m_newestHeard, version);
+        if (!planIsNewest()) {
+            asio::co_spawn(m_executor, fetchPlan(peer), asio::detached);
+        }
+    }
+
+    bool planIsNewest() const
+    {
+        return m_gateway.plan() != nullptr && m_gateway.plan()->version() >= m_newestHeard;
+    }
+
+    asio::awaitable<void> fetchPlan(std::string peer)
+    {
+        co_await pause(s_planPatience);
+        if (planIsNewest()) {
+            co_return;
+        }
+        wire::PeerCall call;
+        call.mutable_plan()->set_newer_than(m_gateway.plan() ? m_gateway.plan()->version() : 0);
+        const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(std::move(peer), std::move(call), s_peerTimeout);
+        if (answer.ok() && answer->done()) {
+            const StoredRow row{.value = answer->plan().document()};
+            takeDocument(row);
+        }
+    }
+
+    /// A router that starts while the store is away takes its first configuration from a peer.
+    asio::awaitable<void> seekFirstPlan()
+    {
+        while (m_gateway.plan() == nullptr) {
+            co_await pause(s_planPatience);
+            for (const std::string &peer : m_link.peers()) {
+                if (m_gateway.plan() == nullptr && !m_options.together) {
+                    co_await fetchPlan(peer);
+                }
+            }
+        }
+    }
+
+    typename TableWatcher<Relayed>::Options planWatch()
     {
         return {.table = m_options.planTable,
                 .onAll =
@@ -180,9 +307,13 @@
 
     void takePlan(const StoredRow &row)
     {
-        if (row.address.key != m_options.planKey || row.version == 0) {
-            return;
+        if (row.address.key == m_options.planKey && row.version != 0) {
+            takeDocument(row);
         }
+    }
+
+    void takeDocument(const StoredRow &row)
+    {
         absl::StatusOr<RoutingPlan::Content> content = m_options.planFrom(row);
         if (!content.ok()) {
             logLine(Severity::Error, "plan.unreadable", {{"detail", content.status().message().data()}});
@@ -191,9 +322,13 @@
         const auto version = static_cast<std::int64_t>(content->version);
         const bool newer = m_gateway.setPlan(std::make_shared<const RoutingPlan>(*std::move(content)));
         logLine(Severity::Info, newer ? "plan.in_force" : "plan.ignored_as_older", {{"version", version}});
+        if (newer) {
+            m_planDocument = row.value;
+            m_link.announcePlan(m_gateway.plan()->version());
+        }
     }
 
-    typename TableWatcher<Store>::Options targetWatch()
+    typename TableWatcher<Relayed>::Options targetWatch()
     {
         return {.table = m_options.targetTable,
                 .onAll =
@@ -293,15 +428,20 @@
     asio::any_io_executor m_executor;
     Options m_options;
     Metrics m_metrics;
-    RouterRegistry<Store> m_registry;
+    std::mt19937 m_random{std::random_device{}()};
+    PeerLink m_link;
+    Relayed m_store;
+    RouterRegistry<Relayed> m_registry;
     TeamLedger m_ledger;
-    LedgerKeeper<Store> m_keeper;
+    LedgerKeeper<Relayed> m_keeper;
     Gateway m_gateway;
-    TableWatcher<Store> m_plans;
-    TableWatcher<Store> m_targets;
+    TableWatcher<Relayed> m_plans;
+    TableWatcher<Relayed> m_targets;
     HttpServer m_callers;
     HttpServer m_readiness;
     HttpServer m_metricsServer;
+    std::string m_planDocument;
+    std::uint64_t m_newestHeard = 0;
     bool m_targetsKnown = false;
     bool m_draining = false;
 };
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -128,11 +128,11 @@
     if (!team->prepaid) {
         co_return absl::OkStatus();
     }
-    const absl::Status status = co_await m_gateway.m_ledger.reserve(m_team, m_terms.bound());
-    if (status.ok()) {
-        m_reserved = m_terms.bound();
+    const absl::StatusOr<Reservation> made = co_await m_gateway.m_ledger.reserve(m_team, m_terms.bound());
+    if (made.ok()) {
+        m_reservation = *made;
     }
-    co_return status;
+    co_return made.status();
 }
 
 asio::awaitable<RequestRun::AttemptEnd> RequestRun::attempts()
@@ -383,12 +383,12 @@
 
 void RequestRun::settle(AttemptEnd end)
 {
-    if (m_reserved == 0) {
+    if (!m_reservation) {
         return;
     }
     const Tokens perEvent = m_service != nullptr ? m_service->tokensPerEvent : 1;
     const auto events = static_cast<Tokens>(m_events.events());
-    Tokens used = m_reserved;
+    Tokens used = m_reservation->bound;
     if (m_ran == 0 && m_sent == 0) {
         used = 0;
     } else if (m_ran == 0) {
@@ -401,8 +401,8 @@
     } else if (!m_uncounted && end == AttemptEnd::CallerLeft) {
         used = m_terms.promptTokens + (events + s_unseenEvents) * perEvent;
     }
-    m_gateway.m_ledger.settle(m_team, m_reserved, std::min(used, m_reserved));
-    m_reserved = 0;
+    m_gateway.m_ledger.settle(m_team, *m_reservation, used);
+    m_reservation.reset();
 }
 
 asio::awaitable<void> RequestRun::finish(AttemptEnd end)
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -80,7 +80,7 @@
     std::string m_team;
     int m_priority = 0;
     Instant m_deadline{};
-    Tokens m_reserved = 0;
+    std::optional<Reservation> m_reservation;
 
     std::vector<std::string> m_tried;
     /// Attempts whose target may have run the request.
--- /dev/null
+++ b/src/membership/peerlink.cpp
@@ -0,0 +1,129 @@
+#include "membership/peerlink.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace bamboohold {
+
+namespace {
+
+/// Messages queued for one peer: calls are answered within tenths of a second or not at all, so older ones are worth nothing.
+constexpr int s_queueLength = 1000;
+
+}
+
+PeerLink::PeerLink(boost::asio::any_io_executor executor, Options options)
+    : m_executor(std::move(executor))
+    , m_options(std::move(options))
+    , m_hub({.identity = m_options.self, .endpoint = absl::StrCat("tcp://", m_options.self), .queueLength = s_queueLength},
+            [this](std::string_view peer, wire::Envelope &message) {
+                boost::asio::post(m_executor, [this, from = std::string(peer), taken = message] {
+                    take(from, taken);
+                });
+            })
+{
+}
+
+void PeerLink::serve(Server server, NoticeHandler onPlanNotice)
+{
+    m_server = std::move(server);
+    m_onPlanNotice = std::move(onPlanNotice);
+}
+
+absl::Status PeerLink::open()
+{
+    absl::Status opened = m_hub.open();
+    if (opened.ok()) {
+        setPeers(m_options.seeds);
+    }
+    return opened;
+}
+
+void PeerLink::connect(const std::string &peer)
+{
+    // Two connections between one pair would fight over one name: only the lesser one connects.
+    if (m_options.self < peer) {
+        m_hub.connect(peer, absl::StrCat("tcp://", peer));
+    }
+}
+
+void PeerLink::setPeers(const std::vector<std::string> &peers)
+{
+    std::set<std::string> named(peers.begin(), peers.end());
+    named.erase(m_options.self);
+    for (const std::string &gone : m_peers) {
+        if (!named.contains(gone)) {
+            m_hub.disconnect(gone, absl::StrCat("tcp://", gone));
+        }
+    }
+    for (const std::string &peer : named) {
+        connect(peer);
+    }
+    m_peers = std::move(named);
+}
+
+std::vector<std::string> PeerLink::peers() const
+{
+    return {m_peers.begin(), m_peers.end()};
+}
+
+boost::asio::awaitable<absl::StatusOr<wire::PeerAnswer>> PeerLink::ask(std::string peer, wire::PeerCall call, Duration timeout)
+{
+    const std::uint64_t id = ++m_lastCall;
+    call.set_call_id(id);
+    wire::Envelope envelope;
+    *envelope.mutable_peer_call() = std::move(call);
+    const auto pending = std::make_shared<Pending>(m_executor);
+    m_pending[id] = pending;
+    m_hub.send(peer, envelope);
+    pending->answered.expires_after(timeout);
+    co_await pending->answered.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    m_pending.erase(id);
+    if (!pending->answer) {
+        co_return failed(FailureKind::TargetLost, absl::StrCat("router ", peer, " did not answer"), Ran::Unknown);
+    }
+    co_return *std::move(pending->answer);
+}
+
+void PeerLink::announcePlan(std::uint64_t version)
+{
+    wire::Envelope envelope;
+    envelope.mutable_plan_notice()->set_version(version);
+    for (const std::string &peer : m_peers) {
+        m_hub.send(peer, envelope);
+    }
+}
+
+void PeerLink::take(const std::string &peer, const wire::Envelope &message)
+{
+    if (message.has_peer_call()) {
+        boost::asio::co_spawn(m_executor, answer(peer, message.peer_call()), boost::asio::detached);
+        return;
+    }
+    if (message.has_plan_notice()) {
+        m_onPlanNotice(peer, message.plan_notice().version());
+        return;
+    }
+    const auto pending = m_pending.find(message.peer_answer().call_id());
+    // An answer after its call's time is up has nobody to take it: a loan in it stays counted as spent by its lender.
+    if (message.has_peer_answer() && pending != m_pending.end()) {
+        pending->second->answer = message.peer_answer();
+        pending->second->answered.cancel();
+    }
+}
+
+boost::asio::awaitable<void> PeerLink::answer(std::string peer, wire::PeerCall call)
+{
+    const std::uint64_t id = call.call_id();
+    wire::PeerAnswer given = co_await m_server(std::move(call));
+    given.set_call_id(id);
+    wire::Envelope envelope;
+    *envelope.mutable_peer_answer() = std::move(given);
+    m_hub.send(peer, envelope);
+}
+
+}
--- /dev/null
+++ b/src/membership/peerlink.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "clock/instant.h"
+#include "failure/failure.h"
+#include "link/linkhub.h"
+
+#include <absl/status/statusor.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bamboohold {
+
+/// Calls and notices between routers that serve without sidecars. Peers are named by the address that their link listens on, which a
+/// restarted process keeps, so that connections find it again by themselves. Lives on one event loop; the link's thread only hands messages
+/// over.
+class PeerLink
+{
+public:
+    struct Options {
+        /// This router's link address, ADDRESS:PORT.
+        std::string self;
+        /// Link addresses known before the store was read; some may be out of date.
+        std::vector<std::string> seeds;
+    };
+
+    using Server = std::function<boost::asio::awaitable<wire::PeerAnswer>(wire::PeerCall call)>;
+    using NoticeHandler = std::function<void(const std::string &peer, std::uint64_t planVersion)>;
+
+    PeerLink(boost::asio::any_io_executor executor, Options options);
+
+    /// Who answers peers' calls, and who hears of their configurations. Before open().
+    void serve(Server server, NoticeHandler onPlanNotice);
+
+    /// Listens; a taken address is an InvalidSetting.
+    absl::Status open();
+
+    /// The routers that live, by link address; this one may be among them.
+    void setPeers(const std::vector<std::string> &peers);
+
+    /// Asks a peer. Failures: TargetLost with Ran::Unknown when no answer came in time.
+    boost::asio::awaitable<absl::StatusOr<wire::PeerAnswer>> ask(std::string peer, wire::PeerCall call, Duration timeout);
+
+    /// Tells every peer which configuration is in force here.
+    void announcePlan(std::uint64_t version);
+
+    /// Peers by link address, this router left out.
+    std::vector<std::string> peers() const;
+
+private:
+    struct Pending {
+        explicit Pending(const boost::asio::any_io_executor &executor)
+            : answered(executor)
+        {
+        }
+
+        boost::asio::steady_timer answered;
+        std::optional<wire::PeerAnswer> answer;
+    };
+
+    void connect(const std::string &peer);
+    void take(const std::string &peer, const wire::Envelope &message);
+    boost::asio::awaitable<void> answer(std::string peer, wire::PeerCall call);
+
+    boost::asio::any_io_executor m_executor;
+    Options m_options;
+    Server m_server;
+    NoticeHandler m_onPlanNotice;
+    std::set<std::string> m_peers;
+    std::map<std::uint64_t, std::shared_ptr<Pending>> m_pending;
+    std::uint64_t m_lastCall = 0;
+    /// Last, so that its thread ends before anything that it hands messages to.
+    LinkHub m_hub;
+};
+
+}
--- a/src/membership/routerregistry.h
+++ b/src/membership/routerregistry.h
@@ -9,7 +9,9 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <functional>
 #include <string>
+#include <vector>
 
 namespace bamboohold {
 
@@ -20,8 +22,10 @@
 {
 public:
     struct Options {
-        /// This router's address.
+        /// The address of this router's link; peers know it by that.
         std::string router;
+        /// Told who lives, this router included, after each count.
+        std::function<void(const std::vector<std::string> &)> onCounted;
         Duration interval = std::chrono::seconds(4);
         /// A row not written for three intervals is a router that is gone.
         Duration silence = std::chrono::seconds(12);
@@ -108,15 +112,17 @@
         }
         m_storeTime = read->storeTime;
         m_storeTimeAt = steadyNow();
-        std::size_t live = 0;
+        std::vector<std::string> live;
         for (const StoredRow &row : read->rows) {
             StoreTimeMs beat = 0;
             const bool valid = absl::SimpleAtoi(row.value, &beat);
             const Duration age = std::chrono::milliseconds(read->storeTime - beat);
             // A row written before the router knew the store's time counts as just written.
-            live += valid && (beat == 0 || age <= m_options.silence) ? 1 : 0;
+            if (valid && (beat == 0 || age <= m_options.silence)) {
+                live.push_back(row.address.key);
+            }
         }
-        const std::size_t routers = std::max<std::size_t>(live, 1);
+        const std::size_t routers = std::max<std::size_t>(live.size(), 1);
         if (routers != m_routers) {
             logLine(Severity::Info,
                     "routers.counted",
@@ -124,6 +130,7 @@
         }
         m_routers = routers;
         m_counted = true;
+        m_options.onCounted(live);
         co_return true;
     }
 
--- a/src/store/tablewatcher.h
+++ b/src/store/tablewatcher.h
@@ -41,14 +41,13 @@
     boost::asio::awaitable<void> run()
     {
         while (true) {
-            bool answered = false;
             if (m_synced) {
-                answered = co_await followOnce();
-            } else {
-                answered = co_await readOnce();
+                m_synced = co_await followOnce();
+                continue;
             }
-            noteReachable(answered);
-            if (!answered) {
+            const bool read = co_await readOnce();
+            noteReachable(read);
+            if (!read) {
                 co_await pause(m_options.retryPause);
             }
         }
@@ -72,6 +71,8 @@
         co_return true;
     }
 
+    /// False when the table has to be read again: the store did not answer, or no longer has the changes. A read may still find a way where
+    /// following does not.
     boost::asio::awaitable<bool> followOnce()
     {
         const absl::StatusOr<RowsFeed> feed = co_await m_store.follow(m_options.table, m_version, m_options.longestWait);
@@ -80,8 +81,7 @@
         }
         if (feed->historyGone) {
             logLine(Severity::Info, "store.history_gone", {{"table", m_options.table}, {"version", static_cast<std::int64_t>(m_version)}});
-            m_synced = false;
-            co_return true;
+            co_return false;
         }
         for (const StoredRow &row : feed->rows) {
             m_options.onChange(row);
--- a/src/tests/teamholdingtest.cpp
+++ b/src/tests/teamholdingtest.cpp
@@ -31,7 +31,7 @@
 
     TeamHolding holding;
     Instant now = Instant(std::chrono::seconds(1));
-    std::vector<Tokens> reserved;
+    std::vector<Reservation> reserved;
 };
 
 /// Routers, the store, and everything between them that can go wrong.
@@ -131,20 +131,31 @@
     /// A process dies; the next one at its address knows nothing. All that it had reserved may have been used.
     void replace(std::size_t router)
     {
-        m_spentByDead += process(router).holding.committed();
+        // Requests in flight count as used: their worst cases are in the sum already.
         const Instant now = process(router).now;
         m_processes[router] = std::make_unique<Process>(router, ++m_lives);
         process(router).now = now + ms(5);
         m_storeNow += 5;
     }
 
-    Tokens spent() const
+    /// A loan between two routers; a lost one reaches the borrower never.
+    void lend(std::size_t lender, std::size_t borrower, Tokens asked, bool lost)
     {
-        Tokens sum = m_spentByDead;
-        for (const auto &process : m_processes) {
-            sum += process->holding.committed();
+        const Tokens lent = process(lender).holding.lend(asked, process(lender).now);
+        if (!lost && lender != borrower) {
+            process(borrower).holding.borrow(lent);
         }
-        return sum;
+    }
+
+    /// Counts what callers have used, or may still use.
+    void addSpent(Tokens tokens)
+    {
+        m_spent += tokens;
+    }
+
+    Tokens spent() const
+    {
+        return m_spent;
     }
 
 private:
@@ -153,29 +164,34 @@
     std::vector<std::unique_ptr<Process>> m_processes;
     std::vector<RowTransaction> m_late;
     std::optional<RowsRead> m_remembered;
-    Tokens m_spentByDead = 0;
+    Tokens m_spent = 0;
     std::size_t m_lives = 0;
 };
 
-void reserve(Process &process, Tokens bound)
+void reserve(Fleet &fleet, Process &process, Tokens bound)
 {
-    if (!process.holding.reserve(bound, process.now)) {
-        process.reserved.push_back(bound);
+    const auto result = process.holding.reserve(bound, process.now);
+    if (const auto *made = std::get_if<Reservation>(&result)) {
+        process.reserved.push_back(*made);
+        fleet.addSpent(bound);
     }
 }
 
 /// Commits all that the process may commit now.
-void reserveAll(Process &process)
+void reserveAll(Fleet &fleet, Process &process)
 {
-    reserve(process, std::max<Tokens>(1, process.holding.available(process.now)));
+    reserve(fleet, process, std::max<Tokens>(1, process.holding.available(process.now)));
+    reserve(fleet, process, std::max<Tokens>(1, process.holding.borrowed()));
 }
 
-void settle(Process &process, Tokens used)
+void settle(Fleet &fleet, Process &process, Tokens used)
 {
     if (!process.reserved.empty()) {
-        const Tokens bound = process.reserved.back();
+        const Reservation made = process.reserved.back();
         process.reserved.pop_back();
-        process.holding.settle(bound, std::min(bound, used), process.now);
+        const Tokens counted = std::min(made.bound, used);
+        process.holding.settle(made, counted, process.now);
+        fleet.addSpent(counted - made.bound);
     }
 }
 
@@ -183,17 +199,17 @@
 void step(Fleet &fleet)
 {
     const auto router = *rc::gen::inRange<std::size_t>(0, s_routers);
-    switch (*rc::gen::inRange(0, 13)) {
+    switch (*rc::gen::inRange(0, 15)) {
     case 0:
-        reserveAll(fleet.process(router));
+        reserveAll(fleet, fleet.process(router));
         break;
     case 1:
     case 2:
-        reserve(fleet.process(router), *rc::gen::inRange<Tokens>(1, 9000));
+        reserve(fleet, fleet.process(router), *rc::gen::inRange<Tokens>(1, 9000));
         break;
     case 3:
     case 4:
-        settle(fleet.process(router), *rc::gen::inRange<Tokens>(0, 9000));
+        settle(fleet, fleet.process(router), *rc::gen::inRange<Tokens>(0, 9000));
         break;
     case 5:
     case 6:
@@ -213,6 +229,10 @@
         fleet.deliverLate();
         break;
     case 11:
+    case 12:
+        fleet.lend(router, *rc::gen::inRange<std::size_t>(0, s_routers), *rc::gen::inRange<Tokens>(1, 20000), *rc::gen::inRange(0, 4) == 0);
+        break;
+    case 13:
         *rc::gen::arbitrary<bool>() ? fleet.rememberRead() : fleet.staleRead(router);
         break;
     default:
@@ -232,7 +252,7 @@
             fleet.pass(ms(1500), std::nullopt);
             fleet.flush(router, static_cast<Fleet::Fate>(*rc::gen::inRange(0, 5)));
             fleet.pass(ms(1500), std::nullopt);
-            reserveAll(fleet.process(router));
+            reserveAll(fleet, fleet.process(router));
             fleet.deliverLate();
             fleet.replace(router);
             fleet.read(router);
@@ -345,8 +365,8 @@
 {
     Single single;
     Process &process = single.fleet.process(0);
-    reserve(process, 500);
-    settle(process, 200);
+    reserve(single.fleet, process, 500);
+    settle(single.fleet, process, 200);
     single.holding.beginClose();
     single.fleet.flush(0, Fleet::Fate::Answered);
     BOOST_TEST(single.holding.closed());
@@ -371,9 +391,29 @@
     Single single;
     Process &process = single.fleet.process(0);
     const auto tooMuch = single.holding.reserve(s_prepaid + 1, process.now);
-    BOOST_TEST((tooMuch == HoldingRefusal::Exhausted));
+    BOOST_TEST((std::get<HoldingRefusal>(tooMuch) == HoldingRefusal::Exhausted));
     const auto notHeld = single.holding.reserve(single.holding.granted() + 1, process.now);
-    BOOST_TEST((notHeld == HoldingRefusal::NotHeld));
+    BOOST_TEST((std::get<HoldingRefusal>(notHeld) == HoldingRefusal::NotHeld));
+}
+
+// A router that restarted while nobody reaches the store holds nothing, and its callers are refused although the budget is nearly whole. A
+// peer lends it some; what is left of it when the store is back goes into the pool, and the budget is as if the loan had never been.
+BOOST_AUTO_TEST_CASE(loanIsSpentOnceAndReturned)
+{
+    Single single;
+    Process &borrower = single.fleet.process(1);
+    single.fleet.lend(0, 1, 5000, false);
+    const Tokens lent = borrower.holding.borrowed();
+    BOOST_TEST(lent > 1000);
+    reserve(single.fleet, borrower, 1000);
+    BOOST_TEST(borrower.reserved.size() == 1);
+    settle(single.fleet, borrower, 400);
+    single.fleet.read(1);
+    single.fleet.flush(1, Fleet::Fate::Answered);
+    BOOST_TEST(borrower.holding.borrowed() == 0);
+    single.fleet.flush(0, Fleet::Fate::Answered);
+    single.fleet.read(2);
+    BOOST_TEST(single.fleet.process(2).holding.remainingAnywhere() == s_prepaid - 400);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
