An ending router goes on serving what is over before it ends

Cause: routers closed their callers' port 2.6 s after SIGTERM and stayed for up to 7 s for the streams under way; where all routers of a failure domain are restarted within seconds the balancer has no other, and callers met closed ports.

Change: the port stays open until the streams under way have ended; new requests that are over before the process ends are served, others refused as not run with a time to come back; the estimate is the usual pace of an engine, twice that near the end.

--- a/scripts/check-coroutines.py
+++ b/scripts/check-coroutines.py
@@ -4,7 +4,8 @@
 import re
 import sys
 
-SOURCES = pathlib.Path(__file__).resolve().parent.parent / "src"
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SOURCES = (ROOT / "src", ROOT / "platform")
 AGGREGATE = re.compile(r"[(,]\s*\{\s*\.|\b[A-Z]\w+\{\s*\.")
 IN_CONDITION = re.compile(r"\b(if|while)\s*\([^;{]*co_await")
 IN_OPERATOR = re.compile(r"(\?|&&|\|\|)\s*!?\s*co_await")
@@ -22,9 +23,9 @@
 
 
 def main():
-    found = [(path, line, reason) for path in sorted(SOURCES.rglob("*.cpp")) for line, reason in problems(path)]
+    found = [(path, line, reason) for folder in SOURCES for pattern in ("*.cpp", "*.h") for path in sorted(folder.rglob(pattern)) if ".pb." not in path.name for line, reason in problems(path)]
     for path, line, reason in found:
-        print(f"{path.relative_to(SOURCES.parent)}:{line}: {reason}")
+        print(f"{path.relative_to(ROOT)}:{line}: {reason}")
     return 1 if found else 0
 
 
--- a/src/budget/ledgerkeeper.h
+++ b/src/budget/ledgerkeeper.h
@@ -14,8 +14,8 @@
 
 namespace bamboohold {
 
-/// Keeps each account of a TeamLedger in step with the store: reads its rows, sends its flushes, and tells it what came back. One flush at a
-/// time for each team.
+/// Keeps each account of a TeamLedger in step with the store: reads its rows, sends its flushes, and tells it what came back. One flush at
+/// a time for each team.
 template<RowStore Store>
 class LedgerKeeper
 {
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -409,7 +409,8 @@
     if (m_closing || m_unmet > 0) {
         return last + policy.urgentInterval;
     }
-    const bool changed = m_inFlight || m_borrowed > 0 || m_predecessor || !m_row || m_row->row.committed != committed() || wantedChange(routers, now) != 0;
+    const bool changed =
+        m_inFlight || m_borrowed > 0 || m_predecessor || !m_row || m_row->row.committed != committed() || wantedChange(routers, now) != 0;
     return last + (changed ? policy.flushInterval : policy.refreshInterval);
 }
 
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -19,13 +19,13 @@
     /// A router aims to hold this much of its own demand. Cuts from the store last up to about nine seconds where the fleet runs today, and
     /// demand is not even; what is held beyond that is missing elsewhere.
     Duration horizon = std::chrono::seconds(11);
-    /// Before a router has seen any demand of a team, all routers together hold this share of the budget: a cut in the first seconds must not
-    /// find them empty.
+    /// Before a router has seen any demand of a team, all routers together hold this share of the budget: a cut in the first seconds must
+    /// not find them empty.
     double initialShare = 0.4;
     /// Demand is trusted, and what was drawn without it returned, once the router has served callers for this long.
     Duration learnFor = std::chrono::seconds(5);
-    /// When the budget cannot fill every router's aim, this part of what is left is held in proportion to demand; the rest stays in the pool for
-    /// routers that join. A request larger than its router's part is helped by peers.
+    /// When the budget cannot fill every router's aim, this part of what is left is held in proportion to demand; the rest stays in the
+    /// pool for routers that join. A request larger than its router's part is helped by peers.
     double scarceShare = 0.95;
     /// Holdings above this multiple of the aim go back, and a draw is made below that part of it.
     double surplusFactor = 1.2;
@@ -44,15 +44,15 @@
     Duration staleAfter = std::chrono::seconds(6);
     /// Changes below this part of the aim are not worth a conflict over the pool's row.
     double smallestChange = 0.05;
-    /// Between two flushes a holder may commit at once this part of what it holds, or two usual requests if that is more. A larger request, or
-    /// a burst, makes it flush again; what stands here is lost when it dies.
+    /// Between two flushes a holder may commit at once this part of what it holds, or two usual requests if that is more. A larger request,
+    /// or a burst, makes it flush again; what stands here is lost when it dies.
     double burstShare = 0.08;
     /// As time passes it may commit this multiple of its demand, and in any case what it holds over this span: demand of a few requests a
     /// second is known roughly, and in a cut the holding must be of use.
     double paceOfDemand = 1.2;
     Duration paceSpan = std::chrono::seconds(12);
-    /// A lender keeps this much of its own demand, and a borrower asks for this much of its own beyond the request at hand, so that it does not
-    /// ask for each request anew.
+    /// A lender keeps this much of its own demand, and a borrower asks for this much of its own beyond the request at hand, so that it does
+    /// not ask for each request anew.
     Duration lendKeep = std::chrono::seconds(1);
     Duration borrowAhead = std::chrono::seconds(1);
 };
@@ -80,16 +80,16 @@
 
 /// What one router holds of one team's prepaid tokens, in the store and in memory.
 ///
-/// The store has a pool row for each team (what was handed out) and a row for each holder (what it was given, what it has committed). Tokens
-/// move from the pool to a holder in one conditional transaction, so neither partitions nor clocks can hand them out twice.
+/// The store has a pool row for each team (what was handed out) and a row for each holder (what it was given, what it has committed).
+/// Tokens move from the pool to a holder in one conditional transaction, so neither partitions nor clocks can hand them out twice.
 ///
 /// A holder that dies leaves its row. To let its successor return nearly all of it, each row carries a pace: the holder never commits more
 /// than `committed + burst + rate * (time since the baseline)`. The baseline is a store time that is surely not later than the moment from
 /// which the holder counts, and the holder keeps to every row that the store may have, also to rows whose write was not acknowledged. A
 /// suspended holder's steady clock stands still, so that it commits less, never more, than the successor assumes.
 ///
-/// While the store is out of reach, routers lend each other what they hold. The lender counts it as spent before it says so, so a loan that is
-/// lost on its way is lost to the team, never spent twice; what the borrower does not need goes into the pool with its next flush.
+/// While the store is out of reach, routers lend each other what they hold. The lender counts it as spent before it says so, so a loan that
+/// is lost on its way is lost to the team, never spent twice; what the borrower does not need goes into the pool with its next flush.
 ///
 /// Pure: time and verdicts come in, transactions go out.
 class TeamHolding
@@ -132,9 +132,8 @@
     /// The plan's newest statement about the team.
     void setPrepaid(const PrepaidStatement &statement);
 
-    /// The rows of the team's part. A read that shows an older state than the store has shown before is left alone: while a store rebuilds its
-    /// history it may answer so, and a holder that believed it would take its own row for gone. Returns
-    /// whether it was taken.
+    /// The rows of the team's part. A read that shows an older state than the store has shown before is left alone: while a store rebuilds
+    /// its history it may answer so, and a holder that believed it would take its own row for gone. Returns whether it was taken.
     bool loaded(const RowsRead &read, Instant now);
 
     /// True when the rows must be read before anything else: at the start, and when a refusal hinges on what others hold.
@@ -310,14 +309,15 @@
     std::optional<Pace> m_row;
     std::uint64_t m_rowVersion = 0;
     std::optional<HolderRow> m_predecessor;
-    /// As last read: granted to the others but not committed by them; the part of it that is with holders who take part now; and their demand.
+    /// As last read: granted to the others but not committed by them; the part of it that is with holders who take part now; and their
+    /// demand.
     Tokens m_unusedByOthers = 0;
     Tokens m_unusedByActive = 0;
     Tokens m_demandOfActive = 0;
 
     std::string m_predecessorText;
-    /// The store's clock showed no more than this when this process started. From an answer to a transaction: an old read may show an old time
-    /// too, and the predecessor would seem to have died before its last commitments.
+    /// The store's clock showed no more than this when this process started. From an answer to a transaction: an old read may show an old
+    /// time too, and the predecessor would seem to have died before its last commitments.
     std::optional<StoreTimeMs> m_startedBefore;
     /// The store's clock showed at least this much at that instant of this process.
     StoreTimeMs m_storeTime = 0;
--- a/src/budget/teamledger.h
+++ b/src/budget/teamledger.h
@@ -16,8 +16,8 @@
 
 namespace bamboohold {
 
-/// What a router holds of every team's budget, for requests to reserve from. Lives on one event loop; LedgerKeeper moves tokens between it and
-/// the store.
+/// What a router holds of every team's budget, for requests to reserve from. Lives on one event loop; LedgerKeeper moves tokens between it
+/// and the store.
 class TeamLedger
 {
 public:
@@ -27,8 +27,8 @@
         HoldingPolicy policy;
         /// After peers gave less than was asked of them, they are left alone for this long: what they have does not change faster.
         Duration borrowPause = std::chrono::milliseconds(200);
-        /// A request waits this long at most for tokens to come from the store: a flush takes about ten milliseconds there when all is well,
-        /// and a refusal that comes at once lets the caller go elsewhere in time.
+        /// A request waits this long at most for tokens to come from the store: a flush takes about ten milliseconds there when all is
+        /// well, and a refusal that comes at once lets the caller go elsewhere in time.
         Duration longestWait = std::chrono::milliseconds(60);
         /// Told to a caller whose refusal may be over after the next flush.
         std::int64_t retryAfterFlushMs = 500;
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -13,8 +13,8 @@
 #include "net/httpserver.h"
 #include "net/workerpool.h"
 #include "operations/metrics.h"
-#include "store/platformclient.h"
 #include "routing/targettable.h"
+#include "store/platformclient.h"
 
 #include <memory>
 #include <mutex>
--- a/src/gateway/callercodec.h
+++ b/src/gateway/callercodec.h
@@ -71,8 +71,8 @@
     std::function<CallerRefusal(const Failure &)> refusal;
 };
 
-/// The headers of a message that are meant for more than one connection: all but those that HTTP calls hop-by-hop, those that the message itself
-/// declares to be so, and those about its framing.
+/// The headers of a message that are meant for more than one connection: all but those that HTTP calls hop-by-hop, those that the message
+/// itself declares to be so, and those about its framing.
 std::vector<HttpHeader> endToEndHeaders(const http::fields &fields);
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,7 +16,8 @@
     std::uint32_t port = 0;
     boost::system::error_code error;
     const auto address = asio::ip::make_address(std::string(text.substr(0, colon)), error);
-    const bool valid = colon != std::string_view::npos && absl::SimpleAtoi(std::string(text.substr(colon + 1)), &port) && port <= UINT16_MAX;
+    const bool valid =
+        colon != std::string_view::npos && absl::SimpleAtoi(std::string(text.substr(colon + 1)), &port) && port <= UINT16_MAX;
     return valid && !error ? asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(port)) : asio::ip::tcp::endpoint();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,8 +18,8 @@
 
 namespace bamboohold {
 
-/// Serves callers straight from the targets: finds route and team, reserves tokens, chooses a target, passes the answer on, settles. Lives on
-/// one event loop.
+/// Serves callers straight from the targets: finds route and team, reserves tokens, chooses a target, passes the answer on, settles. Lives
+/// on one event loop.
 class Gateway
 {
 public:
@@ -53,6 +53,18 @@
         return m_inFlight;
     }
 
+    /// Streams under way: what a process that ends has to wait for.
+    std::size_t streamsInFlight() const
+    {
+        return m_streamsInFlight;
+    }
+
+    /// The process ends then. New requests are served if they are certainly over before, and refused otherwise.
+    void endAt(Instant end)
+    {
+        m_end = end;
+    }
+
     /// What is known of the targets.
     TargetBoard &board()
     {
@@ -78,6 +90,8 @@
     std::map<std::string, std::unique_ptr<HttpClient>> m_clients;
     std::mt19937_64 m_random;
     std::size_t m_inFlight = 0;
+    std::size_t m_streamsInFlight = 0;
+    std::optional<Instant> m_end;
 };
 
 }
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -17,8 +17,8 @@
 
 namespace bamboohold {
 
-/// A router without sidecars, as one process: listeners, followers of the store, budgets, and its orderly end. Takes the store and the decoders of
-/// its rows from whoever adapts a platform.
+/// A router without sidecars, as one process: listeners, followers of the store, budgets, and its orderly end. Takes the store and the
+/// decoders of its rows from whoever adapts a platform.
 template<RowStore Store>
 class GatewayDaemon
 {
@@ -123,7 +123,7 @@
     /// A balancer that asks once a second takes a host out after two misses; until then connections still arrive and are served.
     static constexpr Duration s_rotationTime = std::chrono::milliseconds(2600);
     /// Kept from the grace time for giving budgets back and ending.
-    static constexpr Duration s_closeTime = std::chrono::milliseconds(900);
+    static constexpr Duration s_closeTime = std::chrono::milliseconds(600);
     /// Peers answer within a few milliseconds.
     static constexpr Duration s_peerTimeout = std::chrono::milliseconds(120);
     /// How long the store has to bring a configuration that a peer has already.
@@ -131,6 +131,7 @@
     /// Peers asked for one loan. Each of a large fleet holds about as much as the next.
     static constexpr std::size_t s_lendersAsked = 4;
     static constexpr Duration s_poll = std::chrono::milliseconds(50);
+    static constexpr Duration s_shortPoll = std::chrono::milliseconds(10);
 
     static std::string text(const Address &address)
     {
@@ -399,24 +400,30 @@
         }
     }
 
+    /// Goes on serving until the streams under way have ended: where all routers of a failure domain are restarted together, the balancer
+    /// sends callers here all the same, and a refused connection serves nobody.
     asio::awaitable<void> drainAndStop()
     {
         const Instant begun = steadyNow();
+        const Instant lastWork = begun + m_options.grace - s_closeTime;
         logLine(Severity::Info, "router.draining", {{"in_flight", static_cast<std::int64_t>(m_gateway.inFlight())}});
+        m_gateway.endAt(lastWork);
         m_callers.drain();
         co_await pause(s_rotationTime);
+        while (m_gateway.streamsInFlight() > 0 && steadyNow() < lastWork) {
+            co_await pause(s_poll);
+        }
         m_callers.close();
         m_callers.closeIdle();
-        const Instant lastWork = begun + m_options.grace - s_closeTime;
         while (m_gateway.inFlight() > 0 && steadyNow() < lastWork) {
-            co_await pause(s_poll);
+            co_await pause(s_shortPoll);
             m_callers.closeIdle();
         }
         m_ledger.beginClose();
         co_await m_registry.leave();
         const Instant lastClose = begun + m_options.grace - s_closeTime / 3;
         while (!m_ledger.closed() && steadyNow() < lastClose) {
-            co_await pause(s_poll);
+            co_await pause(s_shortPoll);
         }
         logLine(Severity::Info,
                 "router.stopped",
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -13,8 +13,8 @@
 
 /// Targets that one request is offered to at most, whatever they answer.
 constexpr std::size_t s_maxTries = 5;
-/// Opening a connection takes a few milliseconds; a host that has not accepted by then is without power or cut off, and another target still
-/// serves the caller within most objectives.
+/// Opening a connection takes a few milliseconds; a host that has not accepted by then is without power or cut off, and another target
+/// still serves the caller within most objectives.
 constexpr Duration s_connectTimeout = std::chrono::milliseconds(250);
 /// Less time than this is not worth another attempt: a target could not answer within it.
 constexpr Duration s_leastTime = std::chrono::milliseconds(30);
@@ -27,6 +27,16 @@
 /// Events that a target may have made, unseen, before it noticed that its answer was no longer wanted: half a second's worth at the fastest
 /// step, and some that were on their way.
 constexpr Tokens s_unseenEvents = 48;
+/// What a stream takes, by its token counts, on engines that read some 38 prompt tokens in a millisecond and make a token of each stream in
+/// about 5 ms at the usual load: half as much again. Most streams end well before their output limit.
+constexpr double s_slowMsPerOutputToken = 7.5;
+constexpr double s_slowMsPerPromptToken = 0.06;
+constexpr Duration s_queueAllowance = std::chrono::milliseconds(300);
+/// Once a router has been ending for a while there is no time left in which a slower stream could finish: twice the usual pace.
+constexpr Duration s_lateInDrain = std::chrono::milliseconds(4000);
+constexpr int s_lateFactor = 2;
+/// Told to callers of a router that ends: it is back about this long after its end, and another one usually sooner.
+constexpr std::int64_t s_retryAfterDrainMs = 1000;
 /// Told to callers when no target has room; queues there drain within about this time.
 constexpr std::int64_t s_retryAfterOverloadMs = 1000;
 /// Told to callers while this router does not know its plan yet.
@@ -61,6 +71,18 @@
 RequestRun::~RequestRun()
 {
     --m_gateway.m_inFlight;
+    m_gateway.m_streamsInFlight -= m_countedStream ? 1 : 0;
+}
+
+Duration RequestRun::longestRun() const
+{
+    if (m_route->repeatability != Repeatability::Stream) {
+        return std::min(m_route->timeout, m_terms.patience);
+    }
+    const double reading = s_slowMsPerPromptToken * static_cast<double>(m_terms.promptTokens);
+    const double writing = s_slowMsPerOutputToken * static_cast<double>(m_terms.outputLimit);
+    const auto run = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(reading + writing)) + s_queueAllowance;
+    return std::min({run, m_route->timeout, m_terms.patience});
 }
 
 asio::awaitable<void> RequestRun::serve()
@@ -87,6 +109,12 @@
     co_await finish(end);
 }
 
+Duration RequestRun::allowanceForEnd() const
+{
+    const bool late = *m_gateway.m_end - m_arrived < s_lateInDrain;
+    return late ? s_lateFactor * longestRun() : longestRun();
+}
+
 absl::Status RequestRun::admit()
 {
     absl::StatusOr<RequestTerms> terms = m_gateway.m_options.codec.readRequest(m_exchange.request());
@@ -111,6 +139,12 @@
         m_team = team->name;
         m_priority = team->priority.value_or(m_priority);
     }
+    if (m_gateway.m_end && m_arrived + allowanceForEnd() > *m_gateway.m_end) {
+        return toStatus(
+            {.kind = FailureKind::Draining, .detail = "this router ends before the request would", .retryAfterMs = s_retryAfterDrainMs});
+    }
+    m_countedStream = m_route->repeatability == Repeatability::Stream;
+    m_gateway.m_streamsInFlight += m_countedStream ? 1 : 0;
     m_serviceName = m_gateway.chooseService(*m_route);
     m_service = m_plan->service(m_serviceName);
     m_deadline = m_arrived + std::min(m_terms.patience, m_route->timeout);
@@ -338,15 +372,25 @@
     co_return taken;
 }
 
-asio::awaitable<RequestRun::AttemptEnd> RequestRun::takeStream(HttpStreamCall &call)
+asio::awaitable<void> RequestRun::beginStream(HttpStreamCall &call)
 {
+    if (m_streaming) {
+        co_return;
+    }
+    m_streaming = true;
     std::vector<HttpHeader> headers = endToEndHeaders(call.headers());
+    const bool begun = co_await m_exchange.beginStream(call.status(), "", std::move(headers));
+    m_callerLeft = m_callerLeft || !begun;
+}
+
+asio::awaitable<RequestRun::AttemptEnd> RequestRun::takeStream(HttpStreamCall &call)
+{
     const Duration silence = m_route->resumable ? std::max(s_longestSilence, 4 * m_route->pauseObjective) : s_deadSilence;
     bool more = true;
     bool first = true;
     while (more) {
-        const Duration left = m_deadline - steadyNow();
-        call.setTimeout(clamped(first ? firstByteLimit(steadyNow()) : std::min(left, silence)));
+        const Instant now = steadyNow();
+        call.setTimeout(clamped(first ? firstByteLimit(now) : std::min(m_deadline - now, silence)));
         const absl::StatusOr<std::string> piece = co_await call.readSome();
         if (!piece.ok()) {
             m_lastProblem = std::string(piece.status().message());
@@ -357,15 +401,11 @@
         noteFirstByte();
         first = false;
         more = !piece->empty();
-        std::string events = more ? m_events.feed(*piece) : std::string(m_events.remainder());
+        const std::string events = more ? m_events.feed(*piece) : std::string(m_events.remainder());
         if (events.empty()) {
             continue;
         }
-        if (!m_streaming) {
-            m_streaming = true;
-            const bool begun = co_await m_exchange.beginStream(call.status(), "", std::move(headers));
-            m_callerLeft = m_callerLeft || !begun;
-        }
+        co_await beginStream(call);
         const bool taken = co_await passOn(events);
         if (!taken || m_callerLeft) {
             call.cancel();
@@ -373,10 +413,7 @@
         }
     }
     m_sign = TargetSign::Sound;
-    if (!m_streaming) {
-        m_streaming = true;
-        co_await m_exchange.beginStream(call.status(), "", std::move(headers));
-    }
+    co_await beginStream(call);
     co_await m_exchange.endStream();
     co_return AttemptEnd::Delivered;
 }
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -51,12 +51,15 @@
     };
 
     absl::Status admit();
+    Duration longestRun() const;
+    Duration allowanceForEnd() const;
     asio::awaitable<absl::Status> reserve();
     asio::awaitable<AttemptEnd> attempts();
     asio::awaitable<AttemptEnd> attempt(const Placement &placement);
     asio::awaitable<AttemptEnd> takeAnswer(HttpStreamCall &call);
     asio::awaitable<AttemptEnd> takeWhole(HttpStreamCall &call);
     asio::awaitable<AttemptEnd> takeStream(HttpStreamCall &call);
+    asio::awaitable<void> beginStream(HttpStreamCall &call);
     asio::awaitable<bool> passOn(std::string_view events);
     asio::awaitable<void> finish(AttemptEnd end);
     asio::awaitable<void> refuse(const Failure &failure);
@@ -93,6 +96,8 @@
 
     EventStream m_events;
     bool m_streaming = false;
+    /// Counted among the gateway's streams.
+    bool m_countedStream = false;
     std::optional<HeldAnswer> m_failure;
     std::string m_lastProblem;
     /// The running attempt: its target, when it was sent, and whether its first byte has come.
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -91,8 +91,8 @@
         double prefillTokensPerMs = 38.4;
         /// Milliseconds that one more running request adds to another's first token.
         double msPerOutstanding = 4;
-        /// A request that waits longer than this for its first byte speaks against its target, by as much as it waits longer. A target that has
-        /// gone silent says nothing else.
+        /// A request that waits longer than this for its first byte speaks against its target, by as much as it waits longer. A target that
+        /// has gone silent says nothing else.
         Duration patience = std::chrono::milliseconds(400);
         /// Milliseconds counted against a target in another failure domain: the way there and back, and traffic that is paid for.
         double msOtherDomain = 4;
--- a/src/measure/capacity.cpp
+++ b/src/measure/capacity.cpp
@@ -5,8 +5,8 @@
 #include "inventory/teamkey.h"
 #include "link/link.pb.h"
 #include "membership/peerdirectory.h"
-#include "store/memorytable.h"
 #include "routing/targettable.h"
+#include "store/memorytable.h"
 
 #include <boost/json/serialize.hpp>
 #include <malloc.h>
--- a/src/membership/relayedstore.h
+++ b/src/membership/relayedstore.h
@@ -19,8 +19,8 @@
 RowVerdict verdictFromWire(const wire::StoreAnswer &message);
 RowsRead readFromWire(const wire::StoreAnswer &message);
 
-/// A store that is reached directly, or through a peer while the direct way is cut. A transaction may be sent both ways: it is conditional, and
-/// its sender recognises a copy that took effect before.
+/// A store that is reached directly, or through a peer while the direct way is cut. A transaction may be sent both ways: it is conditional,
+/// and its sender recognises a copy that took effect before.
 template<RowStore Store>
 class RelayedStore
 {
--- a/src/membership/routerregistry.h
+++ b/src/membership/routerregistry.h
@@ -15,8 +15,8 @@
 
 namespace bamboohold {
 
-/// Counts the routers that live: each writes a row now and then, and reads the others'. The count only sizes shares of budgets and of retries;
-/// nothing that must hold depends on it.
+/// Counts the routers that live: each writes a row now and then, and reads the others'. The count only sizes shares of budgets and of
+/// retries; nothing that must hold depends on it.
 template<RowStore Store>
 class RouterRegistry
 {
@@ -29,8 +29,8 @@
         Duration interval = std::chrono::seconds(4);
         /// A row not written for three intervals is a router that is gone.
         Duration silence = std::chrono::seconds(12);
-        /// Where all routers start together, the first count waits this long for the others' rows: they start within a few tenths of a second of each
-        /// other, and take up to a second to come up on a slow host.
+        /// Where all routers start together, the first count waits this long for the others' rows: they start within a few tenths of a
+        /// second of each other, and take up to a second to come up on a slow host.
         Duration settle = std::chrono::milliseconds(1500);
     };
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -34,7 +34,8 @@
     request->method_string(options.method);
     request->target(options.path);
     request->version(11);
-    request->set(http::field::host, options.host.empty() ? absl::StrCat(endpoint.address().to_string(), ":", endpoint.port()) : options.host);
+    request->set(http::field::host,
+                 options.host.empty() ? absl::StrCat(endpoint.address().to_string(), ":", endpoint.port()) : options.host);
     for (const HttpHeader &header : options.headers) {
         request->insert(header.name, header.value);
     }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -35,8 +35,8 @@
     Duration timeout = std::chrono::seconds(10);
     /// Bound on opening a connection: a host without power answers nothing at all, and the kernel would try for minutes.
     Duration connectTimeout = std::chrono::seconds(10);
-    /// Tells whether an answer's head belongs to this request; empty: every answer does. Some peers send an answer twice, and the second one
-    /// then stands where the answer to the next request is expected.
+    /// Tells whether an answer's head belongs to this request; empty: every answer does. Some peers send an answer twice, and the second
+    /// one then stands where the answer to the next request is expected.
     std::function<bool(const http::fields &)> belongs;
 };
 
--- a/src/request/claimservice.h
+++ b/src/request/claimservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "store/platformclient.h"
 #include "request/claimbatch.h"
+#include "store/platformclient.h"
 
 #include <absl/status/statusor.h>
 
--- a/src/standin/engineserver.cpp
+++ b/src/standin/engineserver.cpp
@@ -1,8 +1,8 @@
 #include "standin/engineserver.h"
 
 #include "clock/steadytime.h"
-#include "store/table.h"
 #include "standin/faultswitch.h"
+#include "store/table.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
--- a/src/store/memoryrows.h
+++ b/src/store/memoryrows.h
@@ -7,8 +7,8 @@
 
 namespace bamboohold {
 
-/// The rules of a store of versioned rows, in memory: conditions, one part a transaction, one version counter, a feed with a bounded history.
-/// Tests and stand-ins use it. Not thread-safe.
+/// The rules of a store of versioned rows, in memory: conditions, one part a transaction, one version counter, a feed with a bounded
+/// history. Tests and stand-ins use it. Not thread-safe.
 class MemoryRows
 {
 public:
--- a/src/store/rowstore.h
+++ b/src/store/rowstore.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace bamboohold {
@@ -20,7 +21,12 @@
     std::string part;
     std::string key;
 
-    auto operator<=>(const RowAddress &) const = default;
+    bool operator==(const RowAddress &) const = default;
+
+    bool operator<(const RowAddress &other) const
+    {
+        return std::tie(table, part, key) < std::tie(other.table, other.part, other.key);
+    }
 };
 
 /// A row as the store has it.
@@ -80,8 +86,8 @@
     bool historyGone = false;
 };
 
-/// What the system asks of a store of versioned rows. Errors: TableUnreachable with Ran::No when the store declined, with Ran::Unknown when a
-/// transaction may have taken effect or may still do so.
+/// What the system asks of a store of versioned rows. Errors: TableUnreachable with Ran::No when the store declined, with Ran::Unknown when
+/// a transaction may have taken effect or may still do so.
 template<typename T>
 concept RowStore = requires(T store, const RowTransaction &transaction, const std::string &text, std::uint64_t version, Duration wait)
 {
--- a/src/tests/teamholdingtest.cpp
+++ b/src/tests/teamholdingtest.cpp
@@ -225,8 +225,7 @@
         fleet.read(router);
         break;
     case 9:
-        fleet.pass(ms(*rc::gen::inRange(1, 4000)),
-                   *rc::gen::arbitrary<bool>() ? std::optional<std::size_t>(router) : std::nullopt);
+        fleet.pass(ms(*rc::gen::inRange(1, 4000)), *rc::gen::arbitrary<bool>() ? std::optional<std::size_t>(router) : std::nullopt);
         break;
     case 10:
         fleet.deliverLate();
@@ -281,9 +280,9 @@
 
 BOOST_AUTO_TEST_SUITE(TeamHoldingTest)
 
-// A team is billed more than it paid for. Flushes are lost, take effect late or twice, reads are old, processes die with requests in flight,
-// are suspended, and are followed by successors that recover what is left: whatever the order, the commitments of all processes that ever
-// lived stay within the prepaid amount.
+// A team is billed more than it paid for. Flushes are lost, take effect late or twice, reads are old, processes die with requests in
+// flight, are suspended, and are followed by successors that recover what is left: whatever the order, the commitments of all processes
+// that ever lived stay within the prepaid amount.
 BOOST_AUTO_TEST_CASE(neverSpendsMoreThanPrepaid)
 {
     BOOST_TEST(rc::check("commitments of the living and the dead stay within the prepaid amount", [] {
@@ -298,8 +297,8 @@
     }));
 }
 
-// A router refuses a team for the rest of the day although its budget is nearly whole. While the store rebuilds its history it answers reads
-// with an older state; the router took the row that it did not find there for recovered by a successor and stopped spending for good.
+// A router refuses a team for the rest of the day although its budget is nearly whole. While the store rebuilds its history it answers
+// reads with an older state; the router took the row that it did not find there for recovered by a successor and stopped spending for good.
 BOOST_AUTO_TEST_CASE(oldReadDoesNotFence)
 {
     Fleet fleet;
