--- /dev/null
+++ b/src/tests/gatewaytest.cpp
@@ -0,0 +1,388 @@
+#include "gateway/gateway.h"
+
+#include "tests/scriptedpeer.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace bamboohold;
+
+namespace {
+
+constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// A caller's interface with headers of this test's own.
+CallerCodec testCodec()
+{
+    CallerCodec codec;
+    codec.readRequest = [](const http::fields &fields) -> absl::StatusOr<RequestTerms> {
+        RequestTerms terms{.requestId = std::string(fields["X-Id"]), .patience = std::chrono::seconds(3), .key = std::string(fields["X-Key"])};
+        terms.promptTokens = fields.count("X-Tokens") > 0 ? 10 : 0;
+        return terms;
+    };
+    codec.dispatchHeaders = [](const HttpRequest &request, const DispatchTerms &terms) {
+        std::vector<HttpHeader> headers = endToEndHeaders(request);
+        headers.push_back({.name = "X-Team", .value = terms.team});
+        headers.push_back({.name = "X-Resume", .value = terms.resumeAfter});
+        return headers;
+    };
+    codec.readAnswer = [](unsigned, const http::fields &fields) {
+        return AnswerTerms{.requestId = std::string(fields["X-Id"]),
+                           .sealed = fields.count("X-Seal") > 0,
+                           .notRun = fields.count("X-Not-Run") > 0,
+                           .otherProcess = false,
+                           .altered = false};
+    };
+    codec.refusal = [](const Failure &failure) {
+        CallerRefusal refusal{.status = httpStatus(failure.kind)};
+        if (failure.retryAfterMs) {
+            refusal.headers.push_back({.name = "X-Retry-Ms", .value = absl::StrCat(*failure.retryAfterMs)});
+        }
+        return refusal;
+    };
+    return codec;
+}
+
+std::shared_ptr<const RoutingPlan> testPlan()
+{
+    const auto route = [](std::string prefix, Repeatability repeatability, unsigned attempts, bool resumable) {
+        return Route{.name = prefix,
+                     .host = "app.example",
+                     .prefix = prefix,
+                     .services = {{.service = "service"}},
+                     .repeatability = repeatability,
+                     .timeout = std::chrono::seconds(3),
+                     .maxAttempts = attempts,
+                     .resumable = resumable};
+    };
+    RoutingPlan::Content content{.version = 5,
+                                 .routes = {route("/once/", Repeatability::AtMostOnce, 2, false),
+                                            route("/again/", Repeatability::Idempotent, 2, false),
+                                            route("/stream/", Repeatability::Stream, 1, false),
+                                            route("/resume/", Repeatability::Stream, 2, true)},
+                                 .services = {{.name = "service"}},
+                                 .teams = {{.name = "team", .keys = {"key"}}}};
+    return std::make_shared<const RoutingPlan>(std::move(content));
+}
+
+/// One router with scripted targets, and a caller that sends bytes and reads all that comes back until the router closes.
+class Scene
+{
+public:
+    explicit Scene(std::vector<std::vector<PeerAction>> scripts, bool withPlan = true)
+        : m_pool(1)
+        , m_ledger(m_pool.mainLoop().get_executor(), {.holder = "router", .incarnation = "router~1"})
+        , m_gateway(m_pool.mainLoop().get_executor(), options(), m_ledger, m_metrics)
+        , m_server(m_pool, {.address = "127.0.0.1", .port = s_port, .exclusive = true}, [this](HttpExchange &exchange) {
+            return m_gateway.handle(exchange);
+        })
+    {
+        std::vector<TargetListing> listings;
+        for (std::vector<PeerAction> &script : scripts) {
+            m_targets.push_back(std::make_unique<ScriptedPeer>(m_pool, std::move(script)));
+            listings.push_back({.incarnation = absl::StrCat("target-", m_targets.size()),
+                                .service = "service",
+                                .address = m_targets.back()->address(),
+                                .failureDomain = "here"});
+        }
+        m_gateway.board().setAll(std::move(listings), Instant{});
+        if (withPlan) {
+            m_gateway.setPlan(testPlan());
+        }
+        BOOST_REQUIRE(m_server.open().ok());
+    }
+
+    /// Sends the bytes and returns what came back.
+    std::string exchange(std::string request, bool leave = false)
+    {
+        std::string answer;
+        asio::co_spawn(m_pool.mainLoop(), call(std::move(request), answer, leave), [this](const std::exception_ptr &) {
+            m_pool.stop();
+        });
+        m_pool.run();
+        m_pool.mainLoop().restart();
+        return answer;
+    }
+
+    const ScriptedPeer &target(std::size_t index) const
+    {
+        return *m_targets.at(index);
+    }
+
+    std::size_t runs() const
+    {
+        std::size_t sum = 0;
+        for (const auto &target : m_targets) {
+            sum += target->requests().size();
+        }
+        return sum;
+    }
+
+private:
+    static constexpr std::uint16_t s_port = 17611;
+
+    Gateway::Options options()
+    {
+        Gateway::Options options;
+        options.codec = testCodec();
+        options.board.failureDomain = "here";
+        options.routers = [] {
+            return std::size_t(1);
+        };
+        return options;
+    }
+
+    asio::awaitable<void> call(std::string request, std::string &answer, bool leave)
+    {
+        asio::ip::tcp::socket socket(m_pool.mainLoop());
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), s_port);
+        co_await socket.async_connect(endpoint, s_tuple);
+        co_await asio::async_write(socket, asio::buffer(request), s_tuple);
+        if (leave) {
+            asio::steady_timer timer(m_pool.mainLoop(), std::chrono::milliseconds(50));
+            co_await timer.async_wait(s_tuple);
+            socket.close();
+            timer.expires_after(std::chrono::milliseconds(100));
+            co_await timer.async_wait(s_tuple);
+            co_return;
+        }
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer), s_tuple);
+    }
+
+    WorkerPool m_pool;
+    Metrics m_metrics;
+    TeamLedger m_ledger;
+    Gateway m_gateway;
+    std::vector<std::unique_ptr<ScriptedPeer>> m_targets;
+    HttpServer m_server;
+};
+
+std::string request(const std::string &path, const std::string &headers = "X-Key: key\r\n")
+{
+    return absl::StrCat("POST ", path, "1 HTTP/1.1\r\nHost: app.example\r\nX-Id: r1\r\nConnection: close\r\n", headers, "Content-Length: 4\r\n\r\nbody");
+}
+
+PeerAction sound()
+{
+    return {.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\n", "answer")};
+}
+
+PeerAction declined()
+{
+    return {.bytes = wholeAnswer(503, "X-Not-Run: 1\r\n", "")};
+}
+
+std::string event(int id)
+{
+    return absl::StrCat("id: ", id, "\ndata: piece", id, "\n\n");
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// The body of a chunked answer is whole only with its last chunk.
+bool wholeStream(const std::string &answer)
+{
+    return answer.ends_with("0\r\n\r\n");
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(GatewayTest)
+
+BOOST_AUTO_TEST_CASE(passesAnswerOn)
+{
+    Scene scene({{sound()}});
+    const std::string answer = scene.exchange(request("/once/", "X-Key: key\r\nKeep-Alive: 9\r\nX-Other: kept\r\n"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(contains(answer, "X-Seal: s\r\n"));
+    BOOST_TEST(answer.ends_with("\r\n\r\nanswer"));
+    BOOST_REQUIRE(scene.target(0).requests().size() == 1U);
+    const std::string sent = scene.target(0).requests().front();
+    BOOST_TEST(sent.starts_with("POST /once/1 HTTP/1.1\r\n"));
+    BOOST_TEST(contains(sent, "X-Team: team\r\n"));
+    BOOST_TEST(contains(sent, "X-Other: kept\r\n"));
+    BOOST_TEST(!contains(sent, "Keep-Alive"));
+    BOOST_TEST(sent.ends_with("body"));
+}
+
+// Refusals that a router makes itself; no target is bothered.
+BOOST_AUTO_TEST_CASE(refusesByItself)
+{
+    struct Case {
+        std::string path;
+        std::string headers;
+        std::string status;
+    };
+    for (const Case &item : {Case{"/once/", "X-Key: wrong\r\n", "401"}, Case{"/nowhere/", "X-Key: key\r\n", "404"}}) {
+        Scene scene({{sound()}});
+        BOOST_TEST(scene.exchange(request(item.path, item.headers)).starts_with("HTTP/1.1 " + item.status));
+        BOOST_TEST(scene.runs() == 0U);
+    }
+}
+
+// A router that has just started knows no configuration. "No such route" or "no such key" could be false, and callers would not try again.
+BOOST_AUTO_TEST_CASE(withoutPlanSaysComeBack)
+{
+    Scene scene({{sound()}}, false);
+    const std::string answer = scene.exchange(request("/once/"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(contains(answer, "X-Retry-Ms: "));
+}
+
+// A target declines; the request has not run and goes elsewhere, also when it must not run twice.
+BOOST_AUTO_TEST_CASE(declinedGoesElsewhere)
+{
+    Scene scene({{declined()}, {sound()}});
+    BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+}
+
+// All targets decline: the caller hears "not run", with a time to come back.
+BOOST_AUTO_TEST_CASE(declinedByAllIsNotRun)
+{
+    Scene scene({{declined()}, {declined()}});
+    const std::string answer = scene.exchange(request("/once/"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(contains(answer, "X-Retry-Ms: "));
+}
+
+// A target takes a submission and its connection is reset: it may have run. The router must neither send it again nor say that it was not run.
+BOOST_AUTO_TEST_CASE(lostAnswerIsNotRepeated)
+{
+    Scene scene({{{.bytes = "", .ending = PeerEnding::Reset}}, {{.bytes = "", .ending = PeerEnding::Reset}}});
+    const std::string answer = scene.exchange(request("/once/"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502 "));
+    BOOST_TEST(scene.runs() == 1U);
+}
+
+// The same for a request that may run again: the other target serves it.
+BOOST_AUTO_TEST_CASE(lostAnswerOfIdempotentIsRepeated)
+{
+    Scene scene({{{.bytes = "", .ending = PeerEnding::Reset}}, {sound()}});
+    BOOST_TEST(scene.exchange(request("/again/")).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(scene.runs() == 2U);
+}
+
+// A target runs a repeatable request and fails it; the second one does too, and its failure is passed on as it stands.
+BOOST_AUTO_TEST_CASE(failureOfTargetIsPassedOn)
+{
+    const PeerAction failing{.bytes = wholeAnswer(500, "X-Id: r1\r\nX-Seal: f\r\n", "broken")};
+    Scene scene({{failing}, {failing}, {sound()}});
+    const std::string answer = scene.exchange(request("/again/"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 500 "));
+    BOOST_TEST(answer.ends_with("broken"));
+    BOOST_TEST(scene.runs() == 2U);
+}
+
+// Answers that are not the target's whole answer must not reach the caller as a success.
+BOOST_AUTO_TEST_CASE(spoiledAnswersAreNotPassedOn)
+{
+    const std::vector<PeerAction> spoiled{
+        {.bytes = wholeAnswer(200, "X-Id: r1\r\n", "answer")},
+        {.bytes = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\nContent-Length: 60\r\n\r\nans", .ending = PeerEnding::Close},
+        {.bytes = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n\r\nans", .ending = PeerEnding::Reset},
+        {.bytes = "rubbish\r\n\r\n", .ending = PeerEnding::Close},
+    };
+    for (const PeerAction &action : spoiled) {
+        Scene scene({{action}});
+        const std::string answer = scene.exchange(request("/once/"));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502 "), answer);
+        BOOST_TEST(!contains(answer, "X-Seal"));
+    }
+}
+
+// The answer to an earlier request comes a second time, where the answer to this one is expected.
+BOOST_AUTO_TEST_CASE(foreignAnswerIsSkipped)
+{
+    const std::string foreign = wholeAnswer(200, "X-Id: r0\r\nX-Seal: s0\r\n", "not yours");
+    Scene scene({{{.bytes = foreign + sound().bytes}}});
+    const std::string answer = scene.exchange(request("/once/"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(!contains(answer, "not yours"));
+    BOOST_TEST(answer.ends_with("answer"));
+}
+
+// A target sends bytes behind a complete answer: they belong to nobody, and the connection is not used again.
+BOOST_AUTO_TEST_CASE(extraBytesBelongToNobody)
+{
+    Scene scene({{{.bytes = sound().bytes + "HTTP/1.1 200 OK\r\nX-Seal: late\r\nContent-Length: 3\r\n\r\nxyz"}, sound()}});
+    BOOST_TEST(scene.exchange(request("/once/")).ends_with("\r\n\r\nanswer"));
+    BOOST_TEST(scene.exchange(request("/once/")).ends_with("\r\n\r\nanswer"));
+    BOOST_TEST(scene.target(0).closedByCaller() >= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(passesStreamOn)
+{
+    Scene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)) + chunk(event(2)) + chunk("")}}});
+    const std::string answer = scene.exchange(request("/stream/"));
+    BOOST_TEST(contains(answer, "piece1"));
+    BOOST_TEST(contains(answer, "piece2"));
+    BOOST_TEST(wholeStream(answer));
+}
+
+// A stream that cannot be resumed breaks off midway: what the caller has must not look complete, and no torn event is passed on.
+BOOST_AUTO_TEST_CASE(brokenStreamDoesNotLookWhole)
+{
+    Scene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)) + chunk("id: 2\ndata: pie"), .ending = PeerEnding::Reset}}});
+    const std::string answer = scene.exchange(request("/stream/"));
+    BOOST_TEST(!wholeStream(answer));
+    BOOST_TEST(!contains(answer, "id: 2"));
+    BOOST_TEST(scene.runs() == 1U);
+}
+
+// A resumable stream breaks off within an event; another target goes on after the last whole one, within the same answer.
+BOOST_AUTO_TEST_CASE(resumableStreamGoesOn)
+{
+    const PeerAction first{.bytes = streamHead("X-Id: r1\r\nX-Seal: s1\r\n") + chunk(event(1)) + chunk("id: 2\nda"), .ending = PeerEnding::Close};
+    const PeerAction second{.bytes = streamHead("X-Id: r1\r\nX-Seal: s2\r\n") + chunk(event(2)) + chunk(event(3)) + chunk("")};
+    Scene scene({{first}, {second}});
+    const std::string answer = scene.exchange(request("/resume/"));
+    BOOST_TEST(wholeStream(answer));
+    for (int id = 1; id <= 3; ++id) {
+        const std::string piece = absl::StrCat("data: piece", id, "\n");
+        BOOST_TEST(contains(answer, piece));
+        BOOST_TEST(answer.find(piece) == answer.rfind(piece));
+    }
+    BOOST_TEST(contains(answer, "X-Seal: s1\r\n"));
+    BOOST_TEST(!contains(answer, "X-Seal: s2\r\n"));
+    BOOST_TEST(contains(scene.target(1).requests().back(), "X-Resume: 1\r\n"));
+}
+
+// The caller leaves while its stream runs: the target's connection is closed, so that it stops working on an answer nobody wants.
+BOOST_AUTO_TEST_CASE(callerLeavingStopsTarget)
+{
+    Scene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)), .ending = PeerEnding::Silent}}});
+    scene.exchange(request("/stream/"), true);
+    BOOST_TEST(scene.runs() == 1U);
+    BOOST_TEST(scene.target(0).closedByCaller() == 1U);
+}
+
+// Requests whose end is unclear, or which hide another one: refused, and nothing reaches a target.
+BOOST_AUTO_TEST_CASE(hostileFramingIsRefused)
+{
+    const std::string head = "POST /once/1 HTTP/1.1\r\nHost: app.example\r\nX-Id: r1\r\nX-Key: key\r\n";
+    const std::vector<std::string> hostile{
+        head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+        head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: gzip\r\n\r\nbody",
+        head + "Content-Length: -1\r\n\r\n",
+        "GARBAGE\r\n\r\n",
+    };
+    for (const std::string &bytes : hostile) {
+        Scene scene({{sound()}});
+        const std::string answer = scene.exchange(bytes);
+        BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), bytes);
+        BOOST_TEST(scene.runs() == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/retrybudgettest.cpp
@@ -0,0 +1,37 @@
+#include "gateway/retrybudget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboohold;
+
+BOOST_AUTO_TEST_SUITE(RetryBudgetTest)
+
+// Every target of a service fails. Second attempts stay within the ratio and slack that all routers share, however many fail, and flow again
+// once the window has passed.
+BOOST_AUTO_TEST_CASE(staysWithinTheSharedBound)
+{
+    constexpr std::size_t s_routers = 5;
+    constexpr int s_requests = 400;
+    RetryBudget budget({.ratio = 0.2, .slack = 50, .window = std::chrono::seconds(10), .usedShare = 1});
+    Instant now = Instant(std::chrono::seconds(5));
+    int granted = 0;
+    for (int count = 0; count < s_requests; ++count) {
+        now += std::chrono::milliseconds(10);
+        budget.noteRequest("service", now);
+        granted += budget.tryRetry("service", s_routers, now) ? 1 : 0;
+    }
+    BOOST_TEST(granted == static_cast<int>(0.2 * s_requests + 50 / s_routers));
+    now += std::chrono::seconds(11);
+    BOOST_TEST(budget.tryRetry("service", s_routers, now));
+}
+
+BOOST_AUTO_TEST_CASE(servicesDoNotShare)
+{
+    RetryBudget budget({.ratio = 0, .slack = 1, .window = std::chrono::seconds(10), .usedShare = 1});
+    const Instant now = Instant(std::chrono::seconds(5));
+    BOOST_TEST(budget.tryRetry("one", 1, now));
+    BOOST_TEST(!budget.tryRetry("one", 1, now));
+    BOOST_TEST(budget.tryRetry("two", 1, now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/scriptedpeer.cpp
@@ -0,0 +1,109 @@
+#include "tests/scriptedpeer.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/numbers.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace bamboohold {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view s_lengthHeader = "Content-Length: ";
+
+/// Length of the first whole request in the bytes; 0 while it is not whole.
+std::size_t requestSize(const std::string &bytes)
+{
+    const std::size_t headEnd = bytes.find("\r\n\r\n");
+    if (headEnd == std::string::npos) {
+        return 0;
+    }
+    std::size_t body = 0;
+    const std::size_t at = bytes.find(s_lengthHeader);
+    if (at != std::string::npos && at < headEnd) {
+        const std::size_t begin = at + s_lengthHeader.size();
+        (void)absl::SimpleAtoi(bytes.substr(begin, bytes.find("\r\n", begin) - begin), &body);
+    }
+    const std::size_t size = headEnd + 4 + body;
+    return bytes.size() >= size ? size : 0;
+}
+
+}
+
+ScriptedPeer::ScriptedPeer(WorkerPool &pool, std::vector<PeerAction> script)
+    : m_acceptor(pool.mainLoop(), asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    , m_script(std::move(script))
+{
+    asio::co_spawn(pool.mainLoop(), accept(), asio::detached);
+}
+
+std::string ScriptedPeer::address() const
+{
+    return absl::StrCat("127.0.0.1:", m_acceptor.local_endpoint().port());
+}
+
+asio::awaitable<void> ScriptedPeer::accept()
+{
+    while (true) {
+        auto [error, socket] = co_await m_acceptor.async_accept(s_tuple);
+        if (error) {
+            co_return;
+        }
+        asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> ScriptedPeer::serve(asio::ip::tcp::socket socket)
+{
+    std::string bytes;
+    std::array<char, 4096> buffer{};
+    while (true) {
+        while (requestSize(bytes) == 0) {
+            const auto [error, size] = co_await socket.async_read_some(asio::buffer(buffer), s_tuple);
+            if (error) {
+                ++m_closedByCaller;
+                co_return;
+            }
+            bytes.append(buffer.data(), size);
+        }
+        const std::size_t size = requestSize(bytes);
+        const PeerAction action = m_script.at(std::min(m_requests.size(), m_script.size() - 1));
+        m_requests.push_back(bytes.substr(0, size));
+        bytes.erase(0, size);
+        co_await asio::async_write(socket, asio::buffer(action.bytes), s_tuple);
+        if (action.ending == PeerEnding::Close) {
+            co_return;
+        }
+        if (action.ending == PeerEnding::Reset) {
+            socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+            co_return;
+        }
+    }
+}
+
+std::string wholeAnswer(unsigned status, const std::string &headers, const std::string &body)
+{
+    return absl::StrCat("HTTP/1.1 ", status, " X\r\n", headers, "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+std::string streamHead(const std::string &headers)
+{
+    return absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n", headers, "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+std::string chunk(const std::string &data)
+{
+    return absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n");
+}
+
+}
--- /dev/null
+++ b/src/tests/scriptedpeer.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "net/workerpool.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace bamboohold {
+
+/// How a scripted peer ends an answer.
+enum class PeerEnding {
+    /// Keeps the connection for the next request.
+    Keep,
+    /// Closes it in good order.
+    Close,
+    /// Resets it.
+    Reset,
+    /// Says nothing further and keeps it open.
+    Silent,
+};
+
+/// What a scripted peer does with one request: bytes as they stand on the wire, well-formed or not.
+struct PeerAction {
+    std::string bytes;
+    PeerEnding ending = PeerEnding::Keep;
+};
+
+/// A server on loopback that answers each request, in the order of arrival, with the next action of a script; the last one repeats. Records
+/// what it was sent. For one event loop.
+class ScriptedPeer
+{
+public:
+    ScriptedPeer(WorkerPool &pool, std::vector<PeerAction> script);
+
+    /// Its address as ADDRESS:PORT.
+    std::string address() const;
+
+    /// Requests so far: head and body as they came.
+    const std::vector<std::string> &requests() const
+    {
+        return m_requests;
+    }
+
+    /// Connections that the caller closed or reset.
+    std::size_t closedByCaller() const
+    {
+        return m_closedByCaller;
+    }
+
+private:
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<PeerAction> m_script;
+    std::vector<std::string> m_requests;
+    std::size_t m_closedByCaller = 0;
+};
+
+/// An answer with a length.
+std::string wholeAnswer(unsigned status, const std::string &headers, const std::string &body);
+
+/// The head of a chunked answer.
+std::string streamHead(const std::string &headers);
+
+/// One chunk; an empty one ends the answer.
+std::string chunk(const std::string &data);
+
+}
--- /dev/null
+++ b/src/tests/targetboardtest.cpp
@@ -0,0 +1,194 @@
+#include "gateway/targetboard.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace bamboohold;
+
+namespace {
+
+Duration ms(std::int64_t value)
+{
+    return std::chrono::milliseconds(value);
+}
+
+TargetListing listing(std::string incarnation, std::string failureDomain = "here")
+{
+    return {.incarnation = incarnation, .service = "llm", .address = "10.0.0.1:" + incarnation, .failureDomain = std::move(failureDomain)};
+}
+
+/// A board with some targets of one service, and a clock.
+struct Board {
+    explicit Board(int targets)
+        : board({.failureDomain = "here"})
+    {
+        std::vector<TargetListing> listings;
+        for (int index = 0; index < targets; ++index) {
+            listings.push_back(listing(std::to_string(index)));
+        }
+        board.setAll(std::move(listings), now);
+    }
+
+    std::optional<Placement> choose(std::span<const PromptPart> prompt = {}, std::span<const std::string> except = {}) const
+    {
+        return board.choose({.service = "llm", .prompt = prompt, .except = except}, now);
+    }
+
+    /// Sends a request to whichever target is chosen; returns which.
+    std::string send(std::span<const PromptPart> prompt = {})
+    {
+        const auto placement = choose(prompt);
+        BOOST_REQUIRE(placement.has_value());
+        board.sent(placement->incarnation, prompt, placement->uncached, now);
+        return placement->incarnation;
+    }
+
+    TargetBoard board;
+    Instant now = Instant(std::chrono::seconds(100));
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(TargetBoardTest)
+
+BOOST_AUTO_TEST_CASE(spreadsOverTargets)
+{
+    Board scene(4);
+    std::set<std::string> used;
+    for (int count = 0; count < 4; ++count) {
+        used.insert(scene.send());
+    }
+    BOOST_TEST(used.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(prefersWhereThePromptIsCached)
+{
+    Board scene(4);
+    const std::vector<PromptPart> prompt{{.id = 1, .tokens = 6000}, {.id = 2, .tokens = 100}};
+    const std::string first = scene.send(prompt);
+    scene.board.begun(first, scene.choose(prompt)->uncached, scene.now);
+    const std::vector<PromptPart> next{{.id = 1, .tokens = 6000}, {.id = 3, .tokens = 100}};
+    BOOST_TEST(scene.choose(next)->incarnation == first);
+}
+
+// Routers that have exchanged nothing send the first request for a shared part to the same target, or each of them would have it read anew.
+BOOST_AUTO_TEST_CASE(routersAgreeOnAPart)
+{
+    const Board one(6);
+    const Board other(6);
+    for (std::uint64_t id = 10; id < 30; ++id) {
+        const std::vector<PromptPart> prompt{{.id = id, .tokens = 5000}, {.id = 1000 + id, .tokens = 100}};
+        BOOST_TEST(one.choose(prompt)->incarnation == other.choose(prompt)->incarnation);
+    }
+}
+
+// A prompt that everybody asks for must not queue at one target while others are idle.
+BOOST_AUTO_TEST_CASE(hotPartGetsCopies)
+{
+    Board scene(4);
+    std::set<std::string> used;
+    for (std::uint64_t id = 100; id < 112; ++id) {
+        const std::vector<PromptPart> prompt{{.id = 1, .tokens = 3000}, {.id = id, .tokens = 3000}};
+        used.insert(scene.send(prompt));
+    }
+    BOOST_TEST(used.size() >= 3U);
+}
+
+// Work is sent to a target that is about to go: it is not, from the moment at which it said so, whatever an older entry says.
+BOOST_AUTO_TEST_CASE(leavingTargetGetsNothing)
+{
+    Board scene(1);
+    TargetListing leaving = listing("0");
+    leaving.leaving = true;
+    scene.board.listed(leaving);
+    BOOST_TEST(!scene.choose().has_value());
+    scene.board.listed(listing("0"));
+    BOOST_TEST(!scene.choose().has_value());
+}
+
+// The store was away, and entries lapsed although their targets live. Taking the list at its word would leave nobody to serve; a target that is
+// still missing a while after the store's return is gone.
+BOOST_AUTO_TEST_CASE(lapsedEntriesAreDoubtedForAWhile)
+{
+    Board scene(2);
+    scene.board.storeReachable(false, scene.now);
+    scene.now += ms(4000);
+    scene.board.storeReachable(true, scene.now);
+    scene.board.setAll({}, scene.now);
+    scene.now += ms(1500);
+    scene.board.expire(scene.now);
+    BOOST_TEST(scene.choose().has_value());
+    scene.board.listed(listing("1"));
+    scene.now += ms(1500);
+    scene.board.expire(scene.now);
+    BOOST_REQUIRE(scene.choose().has_value());
+    BOOST_TEST(scene.choose()->incarnation == "1");
+}
+
+// While the store answers, a vanished entry is a target that is gone, at once.
+BOOST_AUTO_TEST_CASE(vanishedEntryIsGoneAtOnce)
+{
+    Board scene(1);
+    scene.board.unlisted("0", scene.now);
+    BOOST_TEST(!scene.choose().has_value());
+}
+
+// A target does not answer any more. It is left alone, tried again by a single request after a while, and left alone for longer when that fails.
+BOOST_AUTO_TEST_CASE(brokenTargetIsTriedBySingleRequests)
+{
+    Board scene(2);
+    scene.board.sent("0", {}, 0, scene.now);
+    scene.board.begun("0", 0, scene.now);
+    scene.board.done("0", TargetSign::Broken, scene.now);
+    for (int count = 0; count < 5; ++count) {
+        BOOST_TEST(scene.send() == "1");
+    }
+    scene.now += ms(500);
+    BOOST_TEST(scene.send() == "0");
+    BOOST_TEST(scene.send() == "1");
+    scene.board.begun("0", 0, scene.now);
+    scene.board.done("0", TargetSign::Sound, scene.now);
+    BOOST_TEST(scene.send() == "0");
+}
+
+// Every target has failed a moment ago. One that may be back serves the caller better than a refusal.
+BOOST_AUTO_TEST_CASE(allBrokenStillOffersOne)
+{
+    Board scene(2);
+    for (const char *incarnation : {"0", "1"}) {
+        scene.board.sent(incarnation, {}, 0, scene.now);
+        scene.board.done(incarnation, TargetSign::Broken, scene.now);
+    }
+    BOOST_TEST(scene.choose().has_value());
+    const std::vector<std::string> tried{"0", "1"};
+    BOOST_TEST(!scene.choose({}, tried).has_value());
+}
+
+// A target goes silent without closing anything. Requests that wait for it speak against it, long before their time is up.
+BOOST_AUTO_TEST_CASE(silentTargetLosesItsShare)
+{
+    Board scene(2);
+    scene.board.sent("0", {}, 0, scene.now);
+    scene.now += ms(900);
+    for (int count = 0; count < 20; ++count) {
+        BOOST_TEST(scene.send() == "1");
+        scene.board.begun("1", 0, scene.now);
+    }
+}
+
+// Single failures are the requests' own; a row of them is the target's.
+BOOST_AUTO_TEST_CASE(failuresInARowPauseATarget)
+{
+    Board scene(2);
+    for (int count = 0; count < 2; ++count) {
+        scene.board.sent("0", {}, 0, scene.now);
+        scene.board.done("0", TargetSign::Failing, scene.now);
+    }
+    BOOST_TEST(scene.choose()->incarnation == "0");
+    scene.board.sent("0", {}, 0, scene.now);
+    scene.board.done("0", TargetSign::Failing, scene.now);
+    BOOST_TEST(scene.choose()->incarnation == "1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
