Logs that never wait for their reader; bamboohold explain joins them and names a cause

Cause: lines went to standard error through a stream that blocks when its reader stops, and an engineer had to join the processes' lines by hand.

--- a/src/cli/arguments.cpp
+++ b/src/cli/arguments.cpp
@@ -140,6 +140,7 @@
                        "  budget close NAME              grant nothing more from a budget\n"
                        "  budget ledger [NAME]           the charges, one line a request\n"
                        "  request show ID                where a request went and what it cost\n"
+                       "  explain ID FILE...             what the routers' logs say about a request, and why it ended so\n"
                        "  node list                      router incarnations and what they hold\n\n"
                        "Options, each also as BAMBOOHOLD_OPTION in the environment:\n";
     for (const gflags::CommandLineFlagInfo &flag : ownFlags()) {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,6 @@
 #include "cli/arguments.h"
 #include "cli/budgetcommands.h"
+#include "cli/explaincommand.h"
 #include "cli/inventorycommands.h"
 #include "cli/output.h"
 #include "daemon/version.h"
@@ -57,6 +58,9 @@
         std::cout << "bamboohold " << s_version << "\n";
         return ExitCode::Done;
     }
+    if (!arguments.words.empty() && arguments.words.front() == "explain") {
+        return explainCommand(arguments);
+    }
     const std::string name = arguments.words.size() < 2 ? "" : arguments.words[0] + " " + arguments.words[1];
     if (name == "inventory check") {
         return checkInventory(arguments);
--- a/src/operations/log.cpp
+++ b/src/operations/log.cpp
@@ -1,20 +1,18 @@
 #include "operations/log.h"
 
 #include "clock/steadytime.h"
+#include "operations/logoutput.h"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 
-#include <iostream>
-
 namespace bamboohold {
 
 namespace {
@@ -48,6 +46,19 @@
     return "error";
 }
 
+/// Hands formatted lines to an output that does not wait for its reader. The frontend's lock guards it.
+class LineBackend : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    void consume(const boost::log::record_view &, const string_type &line)
+    {
+        m_output.write(line);
+    }
+
+private:
+    LogOutput m_output{LogOutput::Options{}};
+};
+
 boost::json::string text(std::string_view view)
 {
     return boost::json::string(view.data(), view.size());
@@ -57,26 +68,22 @@
 
 void initLog(const LogIdentity &identity, Severity lowest)
 {
-    using Backend = boost::log::sinks::text_ostream_backend;
     identityOfProcess() = identity;
-    auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(backend);
+    auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<LineBackend>>();
     sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
     boost::log::core::get()->remove_all_sinks();
     boost::log::core::get()->add_sink(sink);
     boost::log::core::get()->set_filter(boost::log::expressions::attr<Severity>("Severity") >= lowest);
 }
 
-void logLine(Severity severity, std::string_view message, std::initializer_list<LogField> fields)
+void logLine(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
 {
     auto record = logger().open_record(boost::log::keywords::severity = severity);
     if (!record) {
         return;
     }
     const LogIdentity &identity = identityOfProcess();
-    boost::json::object line{{"time_ms", wallClockMs()}, {"severity", text(severityName(severity))}, {"message", text(message)}};
+    boost::json::object line{{"time_ms", wallClockMs()}, {"severity", text(severityName(severity))}, {"event", text(event)}};
     line["role"] = identity.role;
     line["host"] = identity.host;
     line["failure_domain"] = identity.failureDomain;
--- a/src/operations/log.h
+++ b/src/operations/log.h
@@ -29,10 +29,10 @@
     std::string failureDomain;
 };
 
-/// Directs the process's log to standard error as JSON lines.
+/// Directs the process's log to standard output as JSON lines, without ever waiting for its reader.
 void initLog(const LogIdentity &identity, Severity lowest);
 
-/// Writes one line: time, severity, message, identity and the fields given.
-void logLine(Severity severity, std::string_view message, std::initializer_list<LogField> fields = {});
+/// Writes one line: time, severity, the event's stable name, identity and the fields given.
+void logLine(Severity severity, std::string_view event, std::initializer_list<LogField> fields = {});
 
 }
--- /dev/null
+++ b/src/tests/explanationtest.cpp
@@ -0,0 +1,71 @@
+#include "operations/explanation.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboohold;
+
+namespace {
+
+std::vector<LogEntry> logOf(const std::vector<std::string> &lines)
+{
+    std::vector<LogEntry> log;
+    for (const std::string &line : lines) {
+        if (auto entry = readLogEntry(line)) {
+            log.push_back(*std::move(entry));
+        }
+    }
+    return log;
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(ExplanationTest)
+
+BOOST_AUTO_TEST_CASE(budgetRefusalDuringACut)
+{
+    const auto log = logOf({
+        R"(12.5 host {"time_ms":9000,"event":"budget.store_lost","host":"h1","team":"t1"})",
+        R"({"time_ms":9100,"event":"budget.store_lost","host":"h2","team":"t1"})",
+        R"({"time_ms":12000,"event":"request.ended","host":"h1","request":"r1","team":"t1","outcome":"budget_unreachable","detail":"needs 9"})",
+        "not a line of ours",
+    });
+    const Explanation explanation = explainRequest(log, "r1");
+    BOOST_TEST(explanation.outcome == "budget_unreachable");
+    BOOST_TEST(contains(explanation.cause, "without the store for 3000 ms"));
+    BOOST_TEST(contains(explanation.cause, "needs 9"));
+    BOOST_TEST(explanation.entries.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(regainedStoreIsNoCause)
+{
+    const auto log = logOf({
+        R"({"time_ms":9000,"event":"budget.store_lost","host":"h1","team":"t1"})",
+        R"({"time_ms":9500,"event":"budget.store_regained","host":"h1","team":"t1"})",
+        R"({"time_ms":12000,"event":"request.ended","host":"h1","request":"r1","team":"t1","outcome":"budget_unreachable","detail":"needs 9"})",
+    });
+    BOOST_TEST(contains(explainRequest(log, "r1").cause, "held too little"));
+}
+
+BOOST_AUTO_TEST_CASE(streamBrokenByADyingTarget)
+{
+    const auto log = logOf({
+        R"({"time_ms":5100,"event":"request.ended","host":"h1","request":"r2","team":"t","target":"i-1","outcome":"stream_cut","attempts":1})",
+        R"({"time_ms":5090,"event":"attempt.ended","host":"h1","request":"r2","target":"i-1","problem":"reset","events":7,"after_ms":400})",
+    });
+    const Explanation explanation = explainRequest(log, "r2");
+    BOOST_TEST(contains(explanation.cause, "target i-1 after 400 ms and 7 events: reset"));
+    BOOST_TEST(explanation.entries.front().event == "attempt.ended");
+}
+
+BOOST_AUTO_TEST_CASE(unknownRequest)
+{
+    BOOST_TEST(explainRequest({}, "r3").outcome.empty());
+    BOOST_TEST(!explainRequest({}, "r3").cause.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
