--- a/src/budget/ledgerkeeper.h
+++ b/src/budget/ledgerkeeper.h
@@ -21,7 +21,7 @@
 {
 public:
     struct Options {
-        /// Routers that draw on the budgets, this one included.
+        /// Routers that draw on the budgets, this one included; 0 while they have not been counted.
         std::function<std::size_t()> routers;
         /// After a call that was declined or lost, the next one waits this long.
         Duration retryPause = std::chrono::milliseconds(250);
@@ -39,6 +39,10 @@
 private:
     boost::asio::awaitable<void> keep(TeamLedger::Entry &entry, std::string team)
     {
+        while (m_options.routers() == 0) {
+            // A router that took itself for the only one would draw what is meant for all.
+            co_await pause(s_countPause);
+        }
         while (!entry.holding.fenced()) {
             std::optional<bool> answered;
             if (entry.holding.wantsRead(steadyNow())) {
@@ -131,6 +135,7 @@
         }
     }
 
+    static constexpr Duration s_countPause = std::chrono::milliseconds(20);
     /// How long an account with nothing to do sleeps at most.
     static constexpr Duration s_idlePause = std::chrono::seconds(1);
 
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -63,7 +63,7 @@
         , m_store(store, m_link)
         , m_registry(m_store, registryOptions())
         , m_ledger(m_executor, {.holder = holder(), .incarnation = m_options.incarnation, .policy = m_options.holdings})
-        , m_keeper(m_executor, m_store, m_ledger, {.routers = routerCount()})
+        , m_keeper(m_executor, m_store, m_ledger, {.routers = countedRouters()})
         , m_gateway(m_executor, gatewayOptions(), m_ledger, m_metrics)
         , m_plans(m_store, planWatch())
         , m_targets(m_store, targetWatch())
@@ -102,7 +102,7 @@
             return opened;
         }
         asio::co_spawn(m_executor, m_registry.run(m_options.together), asio::detached);
-        asio::co_spawn(m_executor, followPlans(), asio::detached);
+        asio::co_spawn(m_executor, m_plans.run(), asio::detached);
         asio::co_spawn(m_executor, seekFirstPlan(), asio::detached);
         asio::co_spawn(m_executor, m_targets.run(), asio::detached);
         asio::co_spawn(m_executor, expireTargets(), asio::detached);
@@ -157,6 +157,13 @@
         };
     }
 
+    std::function<std::size_t()> countedRouters() const
+    {
+        return [this] {
+            return m_registry.counted() ? m_registry.routers() : 0;
+        };
+    }
+
     Gateway::Options gatewayOptions() const
     {
         Gateway::Options options = m_options.gateway;
@@ -383,15 +390,6 @@
         m_gateway.board().listed(*std::move(listing));
     }
 
-    asio::awaitable<void> followPlans()
-    {
-        // Budgets are opened with the first plan, and how much of them this router draws hangs on how many others there are.
-        while (!m_registry.counted()) {
-            co_await pause(s_poll);
-        }
-        co_await m_plans.run();
-    }
-
     asio::awaitable<void> expireTargets()
     {
         while (true) {
--- a/src/membership/routerregistry.h
+++ b/src/membership/routerregistry.h
@@ -43,6 +43,10 @@
     /// Writes and counts for as long as the process. `together`: all routers start now.
     boost::asio::awaitable<void> run(bool together)
     {
+        if (!together) {
+            // The others' rows are there already; a write that gets lost must not keep this router from counting them.
+            co_await count();
+        }
         while (!m_leaving) {
             const bool written = co_await write();
             if (together) {
