Routers lend what is less than a request's worth to them

Cause: near the end of a budget each router is left with less than one request needs and kept it for its own demand; together they could serve some more (refusals with 2 to 10 times the needed tokens left in the budget were the largest group after a loss of all routers).

Change: a router that could not serve a usual request lends all it has. Test remaindersAreJoined.

--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -221,8 +221,11 @@
 
 Tokens TeamHolding::lend(Tokens asked, Instant now)
 {
-    const Tokens keep = static_cast<Tokens>(demand(now) * seconds(m_options.policy.lendKeep)) + typicalUse();
-    const Tokens lent = std::clamp<Tokens>(available(now) - keep, 0, std::max<Tokens>(0, asked));
+    const Tokens free = available(now);
+    // Near the end of a budget every router is left with less than a request's worth, and together they could serve some more.
+    const bool useless = static_cast<double>(free) < m_demand.averageBound();
+    const Tokens keep = useless ? 0 : static_cast<Tokens>(demand(now) * seconds(m_options.policy.lendKeep)) + typicalUse();
+    const Tokens lent = std::clamp<Tokens>(free - keep, 0, std::max<Tokens>(0, asked));
     m_settled += lent;
     return lent;
 }
--- a/src/tests/teamholdingtest.cpp
+++ b/src/tests/teamholdingtest.cpp
@@ -331,6 +331,18 @@
     BOOST_TEST(lost < held / 4);
 }
 
+// The budget is nearly used up and each router holds less than a request's worth. One of them gets what the others cannot use, and serves one
+// more request.
+BOOST_AUTO_TEST_CASE(remaindersAreJoined)
+{
+    Single single;
+    Process &lender = single.fleet.process(0);
+    lender.holding.noteRequest(8000, lender.now);
+    lender.now += ms(20'000);
+    reserve(single.fleet, lender, lender.holding.available(lender.now) - 900);
+    BOOST_TEST(lender.holding.lend(5000, lender.now) == 900);
+}
+
 // A router dies while nobody reaches the store, and its successor waits ten seconds for it. What the successor must count as spent does not
 // grow while it waits: it knows how long it has been there itself.
 BOOST_AUTO_TEST_CASE(waitingForTheStoreLosesNothing)
