--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -278,7 +278,7 @@
         }
         wire::PeerCall call;
         call.mutable_plan()->set_newer_than(m_gateway.plan() ? m_gateway.plan()->version() : 0);
-        const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(std::move(peer), std::move(call), s_peerTimeout);
+        const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(peer, std::move(call), s_peerTimeout);
         if (answer.ok() && answer->done()) {
             const StoredRow row{.value = answer->plan().document()};
             takeDocument(row);
--- a/src/operations/explanation.cpp
+++ b/src/operations/explanation.cpp
@@ -78,12 +78,20 @@
         return absl::StrCat("the prepaid tokens of team ", end.text("team"), " do not cover it: ", end.text("detail"));
     }
     if (const auto cut = withoutStoreMs(explanation, end)) {
-        return absl::StrCat("router ", end.host, " had been without the store for ", *cut, " ms and neither held enough nor could borrow it: ",
+        return absl::StrCat("router ",
+                            end.host,
+                            " had been without the store for ",
+                            *cut,
+                            " ms and neither held enough nor could borrow it: ",
                             end.text("detail"));
     }
     if (const LogEntry *recovered = last(explanation, "budget.recovering")) {
-        return absl::StrCat("router ", end.host, " had restarted ", end.timeMs - recovered->timeMs,
-                            " ms before and did not hold enough yet: ", end.text("detail"));
+        return absl::StrCat("router ",
+                            end.host,
+                            " had restarted ",
+                            end.timeMs - recovered->timeMs,
+                            " ms before and did not hold enough yet: ",
+                            end.text("detail"));
     }
     return absl::StrCat("router ", end.host, " held too little at that moment and got no more in time: ", end.text("detail"));
 }
@@ -94,8 +102,14 @@
     if (attempt == nullptr) {
         return absl::StrCat("no target of service ", end.text("service"), " could be asked: ", end.text("detail"));
     }
-    std::string cause = absl::StrCat("target ", attempt->text("target"), " after ", attempt->number("after_ms"), " ms and ",
-                                     attempt->number("events"), " events: ", attempt->text("problem"));
+    std::string cause = absl::StrCat("target ",
+                                     attempt->text("target"),
+                                     " after ",
+                                     attempt->number("after_ms"),
+                                     " ms and ",
+                                     attempt->number("events"),
+                                     " events: ",
+                                     attempt->text("problem"));
     if (const LogEntry *gone = last(explanation, "target.unlisted")) {
         absl::StrAppend(&cause, "; the list lost it ", end.timeMs - gone->timeMs, " ms before");
     }
@@ -162,8 +176,9 @@
         return entry.event == s_requestEnded && entry.text("request") == requestId;
     });
     if (ended == log.end()) {
-        explanation.cause = "no log has the end of this request: it never reached a router whole, its router died with it, or it went well and "
-                            "was not among the sampled ones";
+        explanation.cause =
+            "no log has the end of this request: it never reached a router whole, its router died with it, or it went well and "
+            "was not among the sampled ones";
         return explanation;
     }
     std::ranges::copy_if(log, std::back_inserter(explanation.entries), [&](const LogEntry &entry) {
--- a/src/operations/logoutput.h
+++ b/src/operations/logoutput.h
@@ -7,9 +7,9 @@
 
 namespace bamboohold {
 
-/// Writes lines to a descriptor and never waits for its reader. What the reader has not taken is kept up to a bound; beyond it whole lines are
-/// dropped and counted, and the count is written as a line of its own as soon as there is room again. A reader that stops reading must not stop
-/// the process that it watches.
+/// Writes lines to a descriptor and never waits for its reader. What the reader has not taken is kept up to a bound; beyond it whole lines
+/// are dropped and counted, and the count is written as a line of its own as soon as there is room again. A reader that stops reading must
+/// not stop the process that it watches.
 class LogOutput
 {
 public:
--- a/src/tests/gatewaytest.cpp
+++ b/src/tests/gatewaytest.cpp
@@ -23,7 +23,8 @@
 {
     CallerCodec codec;
     codec.readRequest = [](const http::fields &fields) -> absl::StatusOr<RequestTerms> {
-        RequestTerms terms{.requestId = std::string(fields["X-Id"]), .patience = std::chrono::seconds(3), .key = std::string(fields["X-Key"])};
+        RequestTerms terms{
+            .requestId = std::string(fields["X-Id"]), .patience = std::chrono::seconds(3), .key = std::string(fields["X-Key"])};
         terms.promptTokens = fields.count("X-Tokens") > 0 ? 10 : 0;
         return terms;
     };
@@ -168,7 +169,8 @@
 
 std::string request(const std::string &path, const std::string &headers = "X-Key: key\r\n")
 {
-    return absl::StrCat("POST ", path, "1 HTTP/1.1\r\nHost: app.example\r\nX-Id: r1\r\nConnection: close\r\n", headers, "Content-Length: 4\r\n\r\nbody");
+    return absl::StrCat(
+        "POST ", path, "1 HTTP/1.1\r\nHost: app.example\r\nX-Id: r1\r\nConnection: close\r\n", headers, "Content-Length: 4\r\n\r\nbody");
 }
 
 PeerAction sound()
@@ -257,7 +259,8 @@
     BOOST_TEST(contains(answer, "X-Retry-Ms: "));
 }
 
-// A target takes a submission and its connection is reset: it may have run. The router must neither send it again nor say that it was not run.
+// A target takes a submission and its connection is reset: it may have run. The router must neither send it again nor say that it was not
+// run.
 BOOST_AUTO_TEST_CASE(lostAnswerIsNotRepeated)
 {
     Scene scene({{{.bytes = "", .ending = PeerEnding::Reset}}, {{.bytes = "", .ending = PeerEnding::Reset}}});
@@ -334,7 +337,8 @@
 // A stream that cannot be resumed breaks off midway: what the caller has must not look complete, and no torn event is passed on.
 BOOST_AUTO_TEST_CASE(brokenStreamDoesNotLookWhole)
 {
-    Scene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)) + chunk("id: 2\ndata: pie"), .ending = PeerEnding::Reset}}});
+    Scene scene(
+        {{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)) + chunk("id: 2\ndata: pie"), .ending = PeerEnding::Reset}}});
     const std::string answer = scene.exchange(request("/stream/"));
     BOOST_TEST(!wholeStream(answer));
     BOOST_TEST(!contains(answer, "id: 2"));
@@ -344,7 +348,8 @@
 // A resumable stream breaks off within an event; another target goes on after the last whole one, within the same answer.
 BOOST_AUTO_TEST_CASE(resumableStreamGoesOn)
 {
-    const PeerAction first{.bytes = streamHead("X-Id: r1\r\nX-Seal: s1\r\n") + chunk(event(1)) + chunk("id: 2\nda"), .ending = PeerEnding::Close};
+    const PeerAction first{.bytes = streamHead("X-Id: r1\r\nX-Seal: s1\r\n") + chunk(event(1)) + chunk("id: 2\nda"),
+                           .ending = PeerEnding::Close};
     const PeerAction second{.bytes = streamHead("X-Id: r1\r\nX-Seal: s2\r\n") + chunk(event(2)) + chunk(event(3)) + chunk("")};
     Scene scene({{first}, {second}});
     const std::string answer = scene.exchange(request("/resume/"));
@@ -368,8 +373,8 @@
     BOOST_TEST(scene.target(0).closedByCaller() == 1U);
 }
 
-// A router that is short of processor time reads requests late, some after their callers have given up. Work that nobody waits for would take
-// the targets' time from those who do.
+// A router that is short of processor time reads requests late, some after their callers have given up. Work that nobody waits for would
+// take the targets' time from those who do.
 BOOST_AUTO_TEST_CASE(requestOfGoneCallerIsNotSentOn)
 {
     for (const char *path : {"/once/", "/again/", "/stream/"}) {
--- a/src/tests/logoutputtest.cpp
+++ b/src/tests/logoutputtest.cpp
@@ -56,8 +56,8 @@
     BOOST_TEST(pipe.read() == "one\ntwo\n");
 }
 
-// Whoever reads the log stops reading. The process goes on; when the reader is back it gets what was kept, whole lines in order, and is told
-// how many are missing.
+// Whoever reads the log stops reading. The process goes on; when the reader is back it gets what was kept, whole lines in order, and is
+// told how many are missing.
 BOOST_AUTO_TEST_CASE(stoppedReaderStopsNothing)
 {
     constexpr int s_lines = 20'000;
--- a/src/tests/scriptedpeer.cpp
+++ b/src/tests/scriptedpeer.cpp
@@ -1,7 +1,7 @@
 #include "tests/scriptedpeer.h"
 
-#include <absl/strings/str_cat.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/tests/targetboardtest.cpp
+++ b/src/tests/targetboardtest.cpp
@@ -107,8 +107,8 @@
     BOOST_TEST(!scene.choose().has_value());
 }
 
-// The store was away, and entries lapsed although their targets live. Taking the list at its word would leave nobody to serve; a target that is
-// still missing a while after the store's return is gone.
+// The store was away, and entries lapsed although their targets live. Taking the list at its word would leave nobody to serve; a target
+// that is still missing a while after the store's return is gone.
 BOOST_AUTO_TEST_CASE(lapsedEntriesAreDoubtedForAWhile)
 {
     Board scene(2);
@@ -134,7 +134,8 @@
     BOOST_TEST(!scene.choose().has_value());
 }
 
-// A target does not answer any more. It is left alone, tried again by a single request after a while, and left alone for longer when that fails.
+// A target does not answer any more. It is left alone, tried again by a single request after a while, and left alone for longer when that
+// fails.
 BOOST_AUTO_TEST_CASE(brokenTargetIsTriedBySingleRequests)
 {
     Board scene(2);
--- a/src/tests/teamholdingtest.cpp
+++ b/src/tests/teamholdingtest.cpp
@@ -331,8 +331,8 @@
     BOOST_TEST(lost < held / 4);
 }
 
-// The budget is nearly used up and each router holds less than a request's worth. One of them gets what the others cannot use, and serves one
-// more request.
+// The budget is nearly used up and each router holds less than a request's worth. One of them gets what the others cannot use, and serves
+// one more request.
 BOOST_AUTO_TEST_CASE(remaindersAreJoined)
 {
     Single single;
