--- a/src/budget/ledgerkeeper.h
+++ b/src/budget/ledgerkeeper.h
@@ -77,7 +77,7 @@
 
     boost::asio::awaitable<bool> readRows(TeamLedger::Entry &entry, const std::string &team)
     {
-        const std::string table(TeamHolding::s_table);
+        const std::string table(s_budgetTable);
         const absl::StatusOr<RowsRead> rows = co_await m_store.read(table, team);
         if (!rows.ok()) {
             co_return false;
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -1,10 +1,5 @@
 #include "budget/teamholding.h"
 
-#include "failure/failure.h"
-
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -12,9 +7,6 @@
 
 namespace {
 
-constexpr std::string_view s_poolKey = "pool";
-constexpr std::string_view s_holderPrefix = "holder/";
-constexpr double s_msPerSecond = 1000;
 /// A holder may commit this many usual requests at once, so that two that arrive together need no flush between them.
 constexpr double s_burstRequests = 2;
 /// A holding covers this many usual requests besides its demand over time: demand comes in whole requests.
@@ -24,64 +16,6 @@
 constexpr double s_useWeight = 0.03;
 constexpr double s_usedShareAtFirst = 0.6;
 
-std::int64_t whole(const boost::json::object &object, std::string_view name)
-{
-    const auto *value = object.if_contains({name.data(), name.size()});
-    return value != nullptr && value->is_int64() ? value->get_int64() : 0;
-}
-
-boost::json::object parsed(std::string_view text)
-{
-    boost::json::error_code error;
-    const boost::json::value value = boost::json::parse({text.data(), text.size()}, error);
-    return value.is_object() ? value.get_object() : boost::json::object();
-}
-
-TeamHolding::HolderRow holderRowFrom(const StoredRow &stored)
-{
-    const boost::json::object object = parsed(stored.value);
-    TeamHolding::HolderRow row{.flush = static_cast<std::uint64_t>(whole(object, "flush")),
-                               .granted = whole(object, "granted"),
-                               .settled = whole(object, "settled"),
-                               .committed = whole(object, "committed"),
-                               .burst = whole(object, "burst"),
-                               .rate = whole(object, "rate"),
-                               .demand = whole(object, "demand"),
-                               .baseline = whole(object, "baseline_ms")};
-    const auto *incarnation = object.if_contains("incarnation");
-    if (incarnation != nullptr && incarnation->is_string()) {
-        row.incarnation = std::string(incarnation->get_string());
-    }
-    return row;
-}
-
-std::string toText(const TeamHolding::HolderRow &row)
-{
-    return boost::json::serialize(boost::json::object{{"incarnation", row.incarnation},
-                                                      {"flush", row.flush},
-                                                      {"granted", row.granted},
-                                                      {"settled", row.settled},
-                                                      {"committed", row.committed},
-                                                      {"burst", row.burst},
-                                                      {"rate", row.rate},
-                                                      {"demand", row.demand},
-                                                      {"baseline_ms", row.baseline}});
-}
-
-TeamHolding::PoolRow poolRowFrom(const StoredRow &stored)
-{
-    const boost::json::object object = parsed(stored.value);
-    return {.prepaid = whole(object, "prepaid"),
-            .planVersion = static_cast<std::uint64_t>(whole(object, "plan_version")),
-            .allocated = whole(object, "allocated")};
-}
-
-std::string toText(const TeamHolding::PoolRow &row)
-{
-    return boost::json::serialize(
-        boost::json::object{{"prepaid", row.prepaid}, {"plan_version", row.planVersion}, {"allocated", row.allocated}});
-}
-
 Tokens fraction(double share, Tokens of)
 {
     return static_cast<Tokens>(share * static_cast<double>(of));
@@ -89,13 +23,6 @@
 
 }
 
-Tokens TeamHolding::HolderRow::mostCommitted(StoreTimeMs now) const
-{
-    const double elapsed = static_cast<double>(std::max<StoreTimeMs>(0, now - baseline)) / s_msPerSecond;
-    const Tokens paced = committed + burst + static_cast<Tokens>(static_cast<double>(rate) * elapsed);
-    return std::min(granted, paced);
-}
-
 TeamHolding::TeamHolding(Options options)
     : m_options(std::move(options))
     , m_demand(m_options.policy.demandMemory)
@@ -104,12 +31,12 @@
 
 RowAddress TeamHolding::poolAddress() const
 {
-    return {.table = std::string(s_table), .part = m_options.team, .key = std::string(s_poolKey)};
+    return {.table = std::string(s_budgetTable), .part = m_options.team, .key = std::string(s_poolKey)};
 }
 
 RowAddress TeamHolding::ownAddress() const
 {
-    return {.table = std::string(s_table), .part = m_options.team, .key = std::string(s_holderPrefix) + m_options.holder};
+    return {.table = std::string(s_budgetTable), .part = m_options.team, .key = holderKey(m_options.holder)};
 }
 
 Tokens TeamHolding::granted() const
@@ -417,7 +344,7 @@
     return last + (changed ? policy.flushInterval : policy.refreshInterval);
 }
 
-TeamHolding::HolderRow TeamHolding::rowAfter(Tokens change, Instant now) const
+HolderRow TeamHolding::rowAfter(Tokens change, Instant now) const
 {
     const Tokens given = (m_row ? m_row->row.granted : 0) + change;
     const Tokens unused = std::max<Tokens>(0, given - committed());
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "budget/demandmeter.h"
+#include "budget/holdingrows.h"
 #include "clock/instant.h"
 #include "store/rowstore.h"
 
@@ -205,36 +206,6 @@
     /// What is left for a request in the whole budget, as far as the rows last read tell.
     Tokens remainingAnywhere() const;
 
-    /// A holder's row as it stands in the store.
-    struct HolderRow {
-        std::string incarnation;
-        std::uint64_t flush = 0;
-        Tokens granted = 0;
-        Tokens settled = 0;
-        Tokens committed = 0;
-        Tokens burst = 0;
-        /// Tokens a second.
-        Tokens rate = 0;
-        /// Tokens a second that the holder's requests probably use, those that it had to refuse included.
-        Tokens demand = 0;
-        /// Store time that is not later than the start of the pace.
-        StoreTimeMs baseline = 0;
-
-        /// The most that the holder can have committed when the store's clock shows `now`.
-        Tokens mostCommitted(StoreTimeMs now) const;
-    };
-
-    /// The pool's row as it stands in the store.
-    struct PoolRow {
-        Tokens prepaid = 0;
-        std::uint64_t planVersion = 0;
-        /// Tokens with holders, and those spent by holders that are gone.
-        Tokens allocated = 0;
-    };
-
-    /// The table that all rows of budgets are in; a team's rows are its part.
-    static constexpr std::string_view s_table = "budget";
-
     /// What a recovery of a dead process's row returns, and what it must count as spent.
     struct Recovery {
         std::string incarnation;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -2,16 +2,13 @@
 
 #include "budget/ledgerkeeper.h"
 #include "gateway/gateway.h"
-#include "membership/peerlink.h"
-#include "membership/relayedstore.h"
+#include "gateway/peerhelp.h"
 #include "membership/routerregistry.h"
 #include "store/tablewatcher.h"
 
 #include <absl/strings/str_cat.h>
 
-#include <algorithm>
 #include <functional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -65,22 +62,13 @@
         , m_ledger(m_executor, {.holder = holder(), .incarnation = m_options.incarnation, .policy = m_options.holdings})
         , m_keeper(m_executor, m_store, m_ledger, {.routers = countedRouters()})
         , m_gateway(m_executor, gatewayOptions(), m_ledger, m_metrics)
+        , m_help(m_link, m_store, m_ledger, m_gateway, documentTaker())
         , m_plans(m_store, planWatch())
         , m_targets(m_store, targetWatch())
         , m_callers(pool, callerOptions(), callerHandler())
         , m_readiness(pool, {.address = m_options.readiness.address, .port = m_options.readiness.port}, readinessHandler())
         , m_metricsServer(pool, {.address = m_options.metrics.address, .port = m_options.metrics.port}, metricsHandler())
     {
-        m_link.serve(
-            [this](wire::PeerCall call) {
-                return servePeer(std::move(call));
-            },
-            [this](const std::string &peer, std::uint64_t version) {
-                hearOfPlan(peer, version);
-            });
-        m_ledger.onShortage([this](std::string team, Tokens asked) {
-            return borrow(std::move(team), asked);
-        });
     }
 
     /// Listens and begins to follow the store.
@@ -103,7 +91,9 @@
         }
         asio::co_spawn(m_executor, m_registry.run(m_options.together), asio::detached);
         asio::co_spawn(m_executor, m_plans.run(), asio::detached);
-        asio::co_spawn(m_executor, seekFirstPlan(), asio::detached);
+        if (!m_options.together) {
+            asio::co_spawn(m_executor, m_help.seekFirstPlan(), asio::detached);
+        }
         asio::co_spawn(m_executor, m_targets.run(), asio::detached);
         asio::co_spawn(m_executor, expireTargets(), asio::detached);
         logLine(Severity::Info, "router.started", {{"incarnation", m_options.incarnation}, {"callers", holder()}});
@@ -124,12 +114,6 @@
     static constexpr Duration s_rotationTime = std::chrono::milliseconds(2600);
     /// Kept from the grace time for giving budgets back and ending.
     static constexpr Duration s_closeTime = std::chrono::milliseconds(600);
-    /// Peers answer within a few milliseconds.
-    static constexpr Duration s_peerTimeout = std::chrono::milliseconds(120);
-    /// How long the store has to bring a configuration that a peer has already.
-    static constexpr Duration s_planPatience = std::chrono::milliseconds(250);
-    /// Peers asked for one loan. Each of a large fleet holds about as much as the next.
-    static constexpr std::size_t s_lendersAsked = 4;
     static constexpr Duration s_poll = std::chrono::milliseconds(50);
     static constexpr Duration s_shortPoll = std::chrono::milliseconds(10);
 
@@ -215,89 +199,6 @@
         return m_gateway.plan() != nullptr && m_targetsKnown && !m_draining;
     }
 
-    asio::awaitable<wire::PeerAnswer> servePeer(wire::PeerCall call)
-    {
-        wire::PeerAnswer answer;
-        if (call.has_loan()) {
-            answer.mutable_lent()->set_tokens(m_ledger.lend(call.loan().team(), call.loan().tokens()));
-            answer.set_done(true);
-            co_return answer;
-        }
-        if (call.has_plan()) {
-            const std::uint64_t version = m_gateway.plan() ? m_gateway.plan()->version() : 0;
-            answer.set_done(version > call.plan().newer_than());
-            if (answer.done()) {
-                answer.mutable_plan()->set_version(version);
-                answer.mutable_plan()->set_document(m_planDocument);
-            }
-            co_return answer;
-        }
-        answer = co_await m_store.carry(std::move(call));
-        co_return answer;
-    }
-
-    /// Asks peers for tokens, one after the other, until there are enough.
-    asio::awaitable<Tokens> borrow(std::string team, Tokens asked)
-    {
-        Tokens lent = 0;
-        std::vector<std::string> peers = m_link.peers();
-        std::shuffle(peers.begin(), peers.end(), m_random);
-        peers.resize(std::min(peers.size(), s_lendersAsked));
-        for (const std::string &peer : peers) {
-            if (lent >= asked) {
-                break;
-            }
-            wire::PeerCall call;
-            call.mutable_loan()->set_team(team);
-            call.mutable_loan()->set_tokens(asked - lent);
-            const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(peer, std::move(call), s_peerTimeout);
-            lent += answer.ok() ? answer->lent().tokens() : 0;
-        }
-        co_return lent;
-    }
-
-    /// A peer has a newer configuration. Most often the store tells of it within moments; where it does not, the peer does.
-    void hearOfPlan(const std::string &peer, std::uint64_t version)
-    {
-        m_newestHeard = std::max(m_newestHeard, version);
-        if (!planIsNewest()) {
-            asio::co_spawn(m_executor, fetchPlan(peer), asio::detached);
-        }
-    }
-
-    bool planIsNewest() const
-    {
-        return m_gateway.plan() != nullptr && m_gateway.plan()->version() >= m_newestHeard;
-    }
-
-    asio::awaitable<void> fetchPlan(std::string peer)
-    {
-        co_await pause(s_planPatience);
-        if (planIsNewest()) {
-            co_return;
-        }
-        wire::PeerCall call;
-        call.mutable_plan()->set_newer_than(m_gateway.plan() ? m_gateway.plan()->version() : 0);
-        const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(peer, std::move(call), s_peerTimeout);
-        if (answer.ok() && answer->done()) {
-            const StoredRow row{.value = answer->plan().document()};
-            takeDocument(row);
-        }
-    }
-
-    /// A router that starts while the store is away takes its first configuration from a peer.
-    asio::awaitable<void> seekFirstPlan()
-    {
-        while (m_gateway.plan() == nullptr) {
-            co_await pause(s_planPatience);
-            for (const std::string &peer : m_link.peers()) {
-                if (m_gateway.plan() == nullptr && !m_options.together) {
-                    co_await fetchPlan(peer);
-                }
-            }
-        }
-    }
-
     typename TableWatcher<Relayed>::Options planWatch()
     {
         return {.table = m_options.planTable,
@@ -321,6 +222,14 @@
         }
     }
 
+    std::function<void(const std::string &)> documentTaker()
+    {
+        return [this](const std::string &document) {
+            const StoredRow row{.value = document};
+            takeDocument(row);
+        };
+    }
+
     void takeDocument(const StoredRow &row)
     {
         absl::StatusOr<RoutingPlan::Content> content = m_options.planFrom(row);
@@ -332,8 +241,7 @@
         const bool newer = m_gateway.setPlan(std::make_shared<const RoutingPlan>(*std::move(content)));
         logLine(Severity::Info, newer ? "plan.in_force" : "plan.ignored_as_older", {{"version", version}});
         if (newer) {
-            m_planDocument = row.value;
-            m_link.announcePlan(m_gateway.plan()->version());
+            m_help.announce(row.value);
         }
     }
 
@@ -434,20 +342,18 @@
     asio::any_io_executor m_executor;
     Options m_options;
     Metrics m_metrics;
-    std::mt19937 m_random{std::random_device{}()};
     PeerLink m_link;
     Relayed m_store;
     RouterRegistry<Relayed> m_registry;
     TeamLedger m_ledger;
     LedgerKeeper<Relayed> m_keeper;
     Gateway m_gateway;
+    PeerHelp<Store> m_help;
     TableWatcher<Relayed> m_plans;
     TableWatcher<Relayed> m_targets;
     HttpServer m_callers;
     HttpServer m_readiness;
     HttpServer m_metricsServer;
-    std::string m_planDocument;
-    std::uint64_t m_newestHeard = 0;
     bool m_targetsKnown = false;
     bool m_draining = false;
 };
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -53,6 +53,12 @@
     /// Tells every peer which configuration is in force here.
     void announcePlan(std::uint64_t version);
 
+    /// The loop that answers and notices arrive on.
+    const boost::asio::any_io_executor &executor() const
+    {
+        return m_executor;
+    }
+
     /// Peers by link address, this router left out.
     std::vector<std::string> peers() const;
 
--- a/src/tests/teamholdingtest.cpp
+++ b/src/tests/teamholdingtest.cpp
@@ -72,13 +72,13 @@
 
     void read(std::size_t router)
     {
-        process(router).holding.loaded(m_store.read(TeamHolding::s_table, "team", m_storeNow), process(router).now);
+        process(router).holding.loaded(m_store.read(s_budgetTable, "team", m_storeNow), process(router).now);
     }
 
     /// Keeps what a read would have seen now, to be answered later.
     void rememberRead()
     {
-        m_remembered = m_store.read(TeamHolding::s_table, "team", m_storeNow);
+        m_remembered = m_store.read(s_budgetTable, "team", m_storeNow);
     }
 
     void staleRead(std::size_t router)
@@ -367,7 +367,7 @@
 {
     Single single;
     Process successor(0, 99, single.fleet.process(0).now);
-    successor.holding.loaded(single.fleet.store().read(TeamHolding::s_table, "team", 1500), successor.now);
+    successor.holding.loaded(single.fleet.store().read(s_budgetTable, "team", 1500), successor.now);
     constexpr int s_flushesOfRecovery = 2;
     for (int count = 0; count < s_flushesOfRecovery; ++count) {
         const auto transaction = successor.holding.planFlush(s_routers, successor.now);
