Connections belong to a target's incarnation, not to its address; fields that nothing reads are gone

Cause: connections were kept by address and never let go. One that a vanished process left half open would be used for a request to the next process at that address; a request that must not run twice would then end in "may have run".

Test: nextProcessGetsConnectionsOfItsOwn fails when connections are kept by address. Also removed: decoded fields, accessors and counters without a reader.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -55,23 +55,20 @@
     return true;
 }
 
-HttpClient &Gateway::client(const std::string &address)
+std::shared_ptr<HttpClient> Gateway::client(const Placement &placement)
 {
-    auto &client = m_clients[address];
+    auto &client = m_clients[placement.incarnation];
     if (!client) {
-        client = std::make_unique<HttpClient>(m_executor, parsedEndpoint(address));
+        client = std::make_shared<HttpClient>(m_executor, parsedEndpoint(placement.address));
     }
-    return *client;
+    return client;
 }
 
-void Gateway::forgetClients(const std::vector<std::string> &addresses)
+void Gateway::prune()
 {
-    for (const std::string &address : addresses) {
-        const auto found = m_clients.find(address);
-        if (found != m_clients.end()) {
-            found->second->closeIdle();
-        }
-    }
+    std::erase_if(m_clients, [this](const auto &entry) {
+        return !m_board.lists(entry.first);
+    });
 }
 
 const std::string &Gateway::chooseService(const Route &route)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,13 +71,15 @@
         return m_board;
     }
 
-    /// Lets connections to addresses that no listed target has go.
-    void forgetClients(const std::vector<std::string> &addresses);
+    /// Lets the connections to targets that are gone go. Call now and then.
+    void prune();
 
 private:
     friend class RequestRun;
 
-    HttpClient &client(const std::string &address);
+    /// The connections to one target. A process that has taken over an address gets connections of its own: one that its predecessor left
+    /// half open would swallow a request.
+    std::shared_ptr<HttpClient> client(const Placement &placement);
     const std::string &chooseService(const Route &route);
 
     asio::any_io_executor m_executor;
@@ -87,7 +89,8 @@
     TargetBoard m_board;
     RetryBudget m_retries;
     std::shared_ptr<const RoutingPlan> m_plan;
-    std::map<std::string, std::unique_ptr<HttpClient>> m_clients;
+    /// By incarnation.
+    std::map<std::string, std::shared_ptr<HttpClient>> m_clients;
     std::mt19937_64 m_random;
     std::size_t m_inFlight = 0;
     std::size_t m_streamsInFlight = 0;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -303,6 +303,7 @@
         while (true) {
             co_await pause(std::chrono::milliseconds(250));
             m_gateway.board().expire(steadyNow());
+            m_gateway.prune();
         }
     }
 
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -290,7 +290,8 @@
 asio::awaitable<RequestRun::AttemptEnd> RequestRun::attempt(const Placement &placement)
 {
     HttpCallOptions options = callOptions(placement, m_attemptAt);
-    HttpStreamCall call(m_gateway.client(placement.address), std::move(options));
+    const std::shared_ptr<HttpClient> client = m_gateway.client(placement);
+    HttpStreamCall call(*client, std::move(options));
     m_call = &call;
     const absl::Status started = co_await call.start();
     AttemptEnd end = AttemptEnd::Broken;
--- a/src/gateway/routingplan.h
+++ b/src/gateway/routingplan.h
@@ -61,13 +61,7 @@
 /// What all targets of a service have in common.
 struct ServicePlan {
     std::string name;
-    std::string healthPath;
-    /// Connections that one target takes from all callers together.
-    std::uint32_t maxConnections = 0;
-    bool engine = false;
-    /// Engines: requests in one batch, tokens of memory, and tokens that one event of a stream holds at most.
-    std::uint32_t batch = 0;
-    Tokens memoryTokens = 0;
+    /// The most tokens that one event of a stream holds; 1 for services without streams.
     Tokens tokensPerEvent = 1;
 };
 
--- a/src/gateway/targetboard.cpp
+++ b/src/gateway/targetboard.cpp
@@ -195,13 +195,6 @@
     return bestOf(wish, true, now).placement;
 }
 
-std::size_t TargetBoard::candidates(std::string_view service) const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(m_targets, [service](const auto &entry) {
-        return entry.second.listing.service == service && takesWork(entry.second);
-    }));
-}
-
 void TargetBoard::sent(const std::string &incarnation, std::span<const PromptPart> prompt, Tokens uncached, Instant now)
 {
     const auto found = m_targets.find(incarnation);
@@ -282,10 +275,4 @@
     }
 }
 
-std::uint32_t TargetBoard::outstanding(const std::string &incarnation) const
-{
-    const auto found = m_targets.find(incarnation);
-    return found == m_targets.end() ? 0 : found->second.outstanding;
-}
-
 }
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -28,7 +28,6 @@
     std::string service;
     std::string address;
     std::string failureDomain;
-    std::uint32_t capacity = 1;
     bool leaving = false;
     Duration warmup{};
 };
@@ -118,9 +117,6 @@
     /// Chooses a target; none when no usable one is left.
     std::optional<Placement> choose(const PlacementWish &wish, Instant now) const;
 
-    /// Targets of the service that may get new work, whether or not they are paused.
-    std::size_t candidates(std::string_view service) const;
-
     /// A request went to the target.
     void sent(const std::string &incarnation, std::span<const PromptPart> prompt, Tokens uncached, Instant now);
 
@@ -133,8 +129,11 @@
     /// Another process answers at the target's address.
     void replaced(const std::string &incarnation);
 
-    /// Requests of this router at the target.
-    std::uint32_t outstanding(const std::string &incarnation) const;
+    /// True while the target is known, leaving and doubted ones included.
+    bool lists(const std::string &incarnation) const
+    {
+        return m_targets.contains(incarnation);
+    }
 
 private:
     struct Target {
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -109,7 +109,6 @@
         co_return idle;
     }
     auto connection = std::make_shared<Connection>(m_executor);
-    ++m_opened;
     connection->stream.expires_after(timeout);
     const auto [error] = co_await connection->stream.async_connect(m_endpoint, s_tuple);
     if (error) {
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -62,18 +62,6 @@
         return m_endpoint;
     }
 
-    /// Connections opened so far.
-    std::uint64_t opened() const
-    {
-        return m_opened;
-    }
-
-    /// Closes the idle connections, for example when the address went over to another process.
-    void closeIdle()
-    {
-        m_idle.clear();
-    }
-
 private:
     friend class HttpStreamCall;
 
@@ -101,7 +89,6 @@
     asio::any_io_executor m_executor;
     asio::ip::tcp::endpoint m_endpoint;
     std::vector<ConnectionPtr> m_idle;
-    std::uint64_t m_opened = 0;
 };
 
 /// One call whose answer is taken piece by piece.
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -110,13 +110,6 @@
     return m_stream.get_executor();
 }
 
-std::string HttpExchange::peer() const
-{
-    boost::system::error_code error;
-    const auto endpoint = m_stream.socket().remote_endpoint(error);
-    return error ? std::string() : endpoint.address().to_string();
-}
-
 std::string HttpExchange::head(unsigned status, std::string_view contentType, const std::vector<HttpHeader> &headers) const
 {
     std::string text = absl::StrCat("HTTP/1.1 ", status, " ");
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -104,9 +104,6 @@
         m_last = true;
     }
 
-    /// The caller's address, for the log.
-    std::string peer() const;
-
     /// True once anything of an answer was sent.
     bool answered() const
     {
--- a/src/tests/gatewaytest.cpp
+++ b/src/tests/gatewaytest.cpp
@@ -112,6 +112,15 @@
         return answer;
     }
 
+    /// The first target's address goes over to another process.
+    void replaceFirstTarget()
+    {
+        const TargetListing next{
+            .incarnation = "next", .service = "service", .address = m_targets.front()->address(), .failureDomain = "here"};
+        m_gateway.board().unlisted("target-1", Instant{});
+        m_gateway.board().listed(next);
+    }
+
     const ScriptedPeer &target(std::size_t index) const
     {
         return *m_targets.at(index);
@@ -325,6 +334,19 @@
     BOOST_TEST(scene.target(0).closedByCaller() >= 1U);
 }
 
+// A target vanishes without closing its connections, and its address goes over to another process. A connection that was kept to the first
+// one would swallow a request for the second, which then could not be repeated.
+BOOST_AUTO_TEST_CASE(nextProcessGetsConnectionsOfItsOwn)
+{
+    Scene scene({{sound()}});
+    BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(scene.target(0).connections() == 1U);
+    scene.replaceFirstTarget();
+    BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(scene.target(0).connections() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(passesStreamOn)
 {
     Scene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)) + chunk(event(2)) + chunk("")}}});
--- a/src/tests/scriptedpeer.cpp
+++ b/src/tests/scriptedpeer.cpp
@@ -58,6 +58,7 @@
         if (error) {
             co_return;
         }
+        ++m_connections;
         asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
     }
 }
--- a/src/tests/scriptedpeer.h
+++ b/src/tests/scriptedpeer.h
@@ -45,6 +45,12 @@
         return m_requests;
     }
 
+    /// Connections that were opened.
+    std::size_t connections() const
+    {
+        return m_connections;
+    }
+
     /// Connections that the caller closed or reset.
     std::size_t closedByCaller() const
     {
@@ -58,6 +64,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::vector<PeerAction> m_script;
     std::vector<std::string> m_requests;
+    std::size_t m_connections = 0;
     std::size_t m_closedByCaller = 0;
 };
 
