A lender's line in the log says what it had; two tries against tokens stranded by death in an outage, reverted

All routers died some two seconds into an outage of the store; the holder of a hot team had flushed five seconds before its successor started, and 854,000 of 4,159,000 tokens had to be counted as spent.

Ruled out: tokens lying with others (lenders held 0 to 25,000), a slow start (configuration in force within a second).

--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -126,7 +126,9 @@
 {
     const auto found = m_entries.find(team);
     const Tokens lent = found == m_entries.end() ? 0 : found->second->holding.lend(asked, steadyNow());
-    logLine(Severity::Info, "budget.lent", {{"team", team}, {"asked", asked}, {"lent", lent}});
+    const Tokens held = found == m_entries.end() ? 0 : found->second->holding.granted() - found->second->holding.committed();
+    const Tokens available = found == m_entries.end() ? 0 : found->second->holding.available(steadyNow());
+    logLine(Severity::Info, "budget.lent", {{"team", team}, {"asked", asked}, {"lent", lent}, {"available", available}, {"held", held}});
     return lent;
 }
 
