Refusals say what is known: used-up budgets at once, longer patience with a slow store, lenders' lines in the log

Change: what keepers said decides for 200 ms; an old count that is far too little decides as well; requests wait for four of the store's usual answers, 500 ms at most; budget.lent_short tells what a lender lacked.

--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -14,6 +14,9 @@
 constexpr double s_useWeight = 0.03;
 constexpr double s_usedShareAtFirst = 0.6;
 
+/// An old count of what is left decides when it is this many times too small.
+constexpr Tokens s_farTooLittle = 2;
+
 Tokens fraction(double share, Tokens of)
 {
     return static_cast<Tokens>(share * static_cast<double>(of));
@@ -126,8 +129,11 @@
         return HoldingRefusal::Paced;
     }
     m_shortSinceRead = m_shortSinceRead || m_keeps;
-    const bool othersKnown = m_loaded && m_lastRead && now - *m_lastRead < 2 * m_options.policy.readInterval;
-    return othersKnown && remainingAnywhere() < bound ? HoldingRefusal::Exhausted : HoldingRefusal::NotHeld;
+    // Little is given back, so that what was far too little a while ago still is; the plan tells of new amounts.
+    const Tokens left = remainingAnywhere();
+    const bool fresh = m_lastRead && now - *m_lastRead < 2 * m_options.policy.readInterval;
+    return m_loaded && (fresh ? left < bound : m_keeps && s_farTooLittle * left < bound) ? HoldingRefusal::Exhausted
+                                                                                         : HoldingRefusal::NotHeld;
 }
 
 void TeamHolding::settle(const Reservation &reservation, Tokens used, Instant now)
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -18,6 +18,10 @@
 
 /// Time alone admits those who wait for the pace; this often is looked whether it has.
 constexpr Duration s_paceStep = std::chrono::milliseconds(50);
+/// How many of the store's usual answers a request waits for.
+constexpr int s_callsWaitedFor = 4;
+/// The newest answer's share in the mean time that the store takes is one in this many.
+constexpr int s_latencyWeight = 4;
 /// The pace is known in steps.
 constexpr Duration s_pacedMargin = std::chrono::milliseconds(60);
 
@@ -109,7 +113,9 @@
     account.holding.noteRequest(bound, begun);
     std::variant<Reservation, HoldingRefusal> result = account.holding.reserve(bound, begun);
     if (std::holds_alternative<HoldingRefusal>(result)) {
-        const Wish wish{.bound = bound, .longest = m_options.longestWait};
+        // Two calls, a draw and a checkpoint, and what they may take longer than usual.
+        const Duration patience = std::clamp(s_callsWaitedFor * m_storeTakes, m_options.longestWait, m_options.longestSlowWait);
+        const Wish wish{.bound = bound, .longest = patience};
         result = co_await waitFor(account, team, wish);
     }
     if (std::holds_alternative<HoldingRefusal>(result)) {
@@ -132,6 +138,9 @@
         const HoldingRefusal refusal = std::get<HoldingRefusal>(result);
         if (wish.mayBorrow && mayBorrow(account, refusal, wish.bound)) {
             boost::asio::co_spawn(m_executor, borrow(account, team), boost::asio::detached);
+        } else if (!account.borrowing && uncovered(account, wish.bound)) {
+            result = HoldingRefusal::Exhausted;
+            break;
         } else if (hopeless(account, refusal, wish.bound)) {
             break;
         }
@@ -164,9 +173,13 @@
     if (account.borrowing) {
         return false;
     }
-    const bool uncovered = !account.holding.keeps() && steadyNow() < account.uncoveredUntil && bound >= account.uncovered;
     const bool paced = account.holding.timeUntilPaced(0, steadyNow(), m_options.longestPacedWait).has_value();
-    return uncovered || (!storeHelps(account, refusal, bound) && !paced);
+    return !storeHelps(account, refusal, bound) && !paced;
+}
+
+bool TeamLedger::uncovered(const Entry &account, Tokens bound) const
+{
+    return !account.holding.keeps() && steadyNow() < account.uncoveredUntil && bound >= account.uncovered;
 }
 
 bool TeamLedger::storeHelps(const Entry &account, HoldingRefusal refusal, Tokens bound) const
@@ -217,6 +230,7 @@
 void TeamLedger::checkpointAnswered(const RowVerdict &verdict, Instant now)
 {
     const bool wasSealed = m_checkpoint->sealed();
+    m_storeTakes += (now - *m_lastCheckpoint - m_storeTakes) / s_latencyWeight;
     m_checkpoint->answered(verdict, now);
     for (const auto &[team, account] : m_entries) {
         account->answered.notify();
@@ -268,6 +282,14 @@
         co_return Loan{.tokens = asked};
     }
     Loan loan{.tokens = account.holding.lend(asked, steadyNow())};
+    logLine(Severity::Info,
+            "budget.lent_short",
+            {{"team", team},
+             {"asked", asked},
+             {"lent", loan.tokens},
+             {"held", account.holding.granted() - account.holding.committed()},
+             {"left", account.holding.remainingAnywhere()},
+             {"store", static_cast<std::int64_t>(account.storeAnswers && m_checkpointAnswers)}});
     loan.exhausted = std::get<HoldingRefusal>(result) == HoldingRefusal::Exhausted;
     co_return loan;
 }
--- a/src/budget/teamledger.h
+++ b/src/budget/teamledger.h
@@ -32,9 +32,12 @@
         Duration borrowPause = std::chrono::milliseconds(200);
         /// A lender looks this long for tokens that it does not have at hand: a draw and a checkpoint, less than borrowers wait.
         Duration longestLoanWait = std::chrono::milliseconds(70);
-        /// A request waits this long at most for tokens or a checkpoint: both take about ten milliseconds when all is well, and up to a
-        /// quarter of a second while the store is slow; a refusal that comes soon lets the caller go elsewhere in time.
+        /// A request waits this long at most for tokens or a checkpoint: both take about ten milliseconds when all is well, and a refusal
+        /// that comes soon lets the caller go elsewhere in time.
         Duration longestWait = std::chrono::milliseconds(150);
+        /// While the store answers and is slow, a hundred milliseconds or more a call, a request waits longer: the other routers are no
+        /// better off. Still within most objectives.
+        Duration longestSlowWait = std::chrono::milliseconds(500);
         /// It waits longer where the pace of this router will admit it within this time: sooner than the caller would be back.
         Duration longestPacedWait = std::chrono::milliseconds(400);
         /// Checkpoints for which requests wait follow each other by this at least, so that one write carries several requests.
@@ -161,6 +164,7 @@
     bool mayBorrow(const Entry &account, HoldingRefusal refusal, Tokens bound) const;
     bool storeHelps(const Entry &account, HoldingRefusal refusal, Tokens bound) const;
     void seek(Entry &account, HoldingRefusal refusal);
+    bool uncovered(const Entry &account, Tokens bound) const;
     bool hopeless(const Entry &account, HoldingRefusal refusal, Tokens bound) const;
     void assignKeepers(Entry &account, const std::string &team);
 
@@ -181,6 +185,8 @@
     std::unique_ptr<HolderCheckpoint> m_checkpoint;
     Signal m_checkpointUrgent;
     bool m_checkpointAnswers = true;
+    /// What the store takes for a checkpoint, on average.
+    Duration m_storeTakes{};
     std::optional<Instant> m_lastCheckpoint;
     /// Requests that wait for tokens or a checkpoint.
     std::size_t m_waiters = 0;
