--- a/src/budget/holdercheckpoint.cpp
+++ b/src/budget/holdercheckpoint.cpp
@@ -164,6 +164,16 @@
     return std::nullopt;
 }
 
+Tokens HolderCheckpoint::committedBy(std::string_view incarnation, std::string_view team) const
+{
+    const auto found = std::ranges::find(m_earlier, incarnation, &Checkpoint::incarnation);
+    if (found == m_earlier.end()) {
+        return 0;
+    }
+    const auto commitment = found->teams.find(team);
+    return commitment == found->teams.end() ? 0 : commitment->second.committed;
+}
+
 std::optional<Tokens> HolderCheckpoint::spentBy(std::string_view incarnation, std::string_view team) const
 {
     const auto found = std::ranges::find(m_earlier, incarnation, &Checkpoint::incarnation);
--- a/src/budget/holdercheckpoint.h
+++ b/src/budget/holdercheckpoint.h
@@ -80,6 +80,9 @@
     /// What a dead process at this address can have committed for the team; none when it left no checkpoint.
     std::optional<Tokens> spentBy(std::string_view incarnation, std::string_view team) const;
 
+    /// What a dead process at this address had committed for the team at its last checkpoint; 0 when it left none.
+    Tokens committedBy(std::string_view incarnation, std::string_view team) const;
+
     /// All holdings of dead processes at this address are recovered: their checkpoints may go.
     void forgetEarlier()
     {
--- a/src/budget/ledgerkeeper.h
+++ b/src/budget/ledgerkeeper.h
@@ -120,7 +120,7 @@
                 {{"team", team},
                  {"dead", recovery.incarnation},
                  {"granted", recovery.granted},
-                 {"committed_at_flush", recovery.committedAtFlush},
+                 {"committed_at_checkpoint", recovery.committed},
                  {"counted_as_spent", recovery.countedAsSpent},
                  {"checkpoint_known", static_cast<std::int64_t>(recovery.checkpointKnown)}});
     }
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -164,7 +164,7 @@
     }
     return Recovery{.incarnation = m_predecessor->incarnation,
                     .granted = m_predecessor->granted,
-                    .committedAtFlush = m_predecessor->committed,
+                    .committed = m_checkpoint.committedBy(m_predecessor->incarnation, m_options.team),
                     .countedAsSpent = spentByPredecessor(),
                     .checkpointKnown = m_checkpoint.spentBy(m_predecessor->incarnation, m_options.team).has_value()};
 }
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -267,7 +267,8 @@
     struct Recovery {
         std::string incarnation;
         Tokens granted = 0;
-        Tokens committedAtFlush = 0;
+        /// As the dead process's last checkpoint says.
+        Tokens committed = 0;
         Tokens countedAsSpent = 0;
         /// False: the dead process left no checkpoint, so that all it held counts.
         bool checkpointKnown = false;
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <array>
 
 namespace bamboohold {
 
@@ -493,7 +494,10 @@
 {
     const Instant now = steadyNow();
     const std::string route = m_route != nullptr ? m_route->name : std::string();
-    m_gateway.m_metrics.count("requests_total", {.name = "outcome", .value = outcome});
+    const std::array<MetricLabel, 2> byRoute{{{.name = "route", .value = route}, {.name = "outcome", .value = outcome}}};
+    m_gateway.m_metrics.count("requests_total", byRoute);
+    const std::array<MetricLabel, 2> byTeam{{{.name = "team", .value = m_team}, {.name = "outcome", .value = outcome}}};
+    m_gateway.m_metrics.count("team_requests_total", byTeam);
     if (m_firstByte) {
         m_gateway.m_metrics.observe("first_byte_seconds", {.name = "route", .value = route}, seconds(*m_firstByte - m_arrived));
     }
--- a/src/operations/explanation.cpp
+++ b/src/operations/explanation.cpp
@@ -22,7 +22,8 @@
     std::string_view("budget.store_regained"),
     std::string_view("budget.recovered"),
     std::string_view("budget.fenced"),
-    std::string_view("budget.borrowed"),
+    std::string_view("budget.loan_short"),
+    std::string_view("budget.prepaid"),
 };
 
 constexpr std::array s_hostEvents{
@@ -31,6 +32,9 @@
     std::string_view("store.lost"),
     std::string_view("store.regained"),
     std::string_view("plan.in_force"),
+    std::string_view("checkpoint.store_lost"),
+    std::string_view("checkpoint.store_regained"),
+    std::string_view("checkpoint.fenced"),
 };
 
 bool among(std::span<const std::string_view> events, const LogEntry &entry)
@@ -61,17 +65,24 @@
     return found == explanation.entries.rend() ? nullptr : &*found;
 }
 
-/// How long the team's account on this host had been without the store, if it was.
-std::optional<std::int64_t> withoutStoreMs(const Explanation &explanation, const LogEntry &end)
+/// How long after the last such loss the request ended, unless it was over by then.
+std::optional<std::int64_t> lostForMs(const Explanation &explanation, const LogEntry &end, std::string_view loss, std::string_view over)
 {
-    const LogEntry *lost = last(explanation, "budget.store_lost");
-    const LogEntry *regained = last(explanation, "budget.store_regained");
+    const LogEntry *lost = last(explanation, loss);
+    const LogEntry *regained = last(explanation, over);
     if (lost == nullptr || (regained != nullptr && regained->timeMs > lost->timeMs)) {
         return std::nullopt;
     }
     return end.timeMs - lost->timeMs;
 }
 
+/// How long the router had been without the store: for the team's rows, or, where it keeps none of them, for its checkpoints.
+std::optional<std::int64_t> withoutStoreMs(const Explanation &explanation, const LogEntry &end)
+{
+    const auto rows = lostForMs(explanation, end, "budget.store_lost", "budget.store_regained");
+    return rows ? rows : lostForMs(explanation, end, "checkpoint.store_lost", "checkpoint.store_regained");
+}
+
 std::string budgetCause(const Explanation &explanation, const LogEntry &end)
 {
     if (end.text("outcome") == "budget_exhausted") {
@@ -93,6 +104,18 @@
                             " ms before and did not hold enough yet: ",
                             end.text("detail"));
     }
+    if (const LogEntry *loan = last(explanation, "budget.loan_short")) {
+        return absl::StrCat("router ",
+                            end.host,
+                            " held too little, and the routers that keep the budget lent it ",
+                            loan->number("lent"),
+                            " of ",
+                            loan->number("wanted"),
+                            " tokens ",
+                            end.timeMs - loan->timeMs,
+                            " ms before: ",
+                            end.text("detail"));
+    }
     return absl::StrCat("router ", end.host, " held too little at that moment and got no more in time: ", end.text("detail"));
 }
 
--- a/src/operations/metrics.cpp
+++ b/src/operations/metrics.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Combinations of labels that a counter is kept under.
+constexpr std::size_t s_mostCombinations = 1000;
+
 using Values = std::map<std::string, std::map<std::string, std::int64_t>, std::less<>>;
 
 void appendValues(std::string &text, const Values &values, std::string_view type)
@@ -30,22 +33,38 @@
 
 }
 
-std::string Metrics::labelText(MetricLabel label)
+std::string Metrics::labelText(std::span<const MetricLabel> labels)
 {
-    const std::string value = absl::StrReplaceAll(std::string(label.value), {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
-    return absl::StrCat(std::string(label.name), "=\"", value, "\"");
+    std::string text;
+    for (const MetricLabel &label : labels) {
+        const std::string value = absl::StrReplaceAll(std::string(label.value), {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
+        absl::StrAppend(&text, text.empty() ? "" : ",", std::string(label.name), "=\"", value, "\"");
+    }
+    return text;
 }
 
 void Metrics::count(std::string_view series, MetricLabel label, std::int64_t amount)
+{
+    count(series, std::span(&label, 1), amount);
+}
+
+void Metrics::count(std::string_view series, std::span<const MetricLabel> labels, std::int64_t amount)
 {
     const std::lock_guard lock(m_mutex);
-    slot(m_counters, series, labelText(label)) += amount;
+    const auto found = m_counters.find(series);
+    std::string text = labelText(labels);
+    const bool full = found != m_counters.end() && found->second.size() >= s_mostCombinations && !found->second.contains(text);
+    if (full) {
+        const MetricLabel other{.name = labels.front().name, .value = "other"};
+        text = labelText(std::span(&other, 1));
+    }
+    slot(m_counters, series, std::move(text)) += amount;
 }
 
 void Metrics::gauge(std::string_view series, MetricLabel label, std::int64_t value)
 {
     const std::lock_guard lock(m_mutex);
-    slot(m_gauges, series, labelText(label)) = value;
+    slot(m_gauges, series, labelText(std::span(&label, 1))) = value;
 }
 
 void Metrics::observe(std::string_view series, MetricLabel label, double seconds)
@@ -55,7 +74,7 @@
     if (found == m_histograms.end()) {
         found = m_histograms.try_emplace(std::string(series)).first;
     }
-    found->second[labelText(label)](seconds);
+    found->second[labelText(std::span(&label, 1))](seconds);
 }
 
 std::string Metrics::text() const
--- a/src/operations/metrics.h
+++ b/src/operations/metrics.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,10 @@
     /// Adds to a counter.
     void count(std::string_view series, MetricLabel label, std::int64_t amount = 1);
 
+    /// Adds to a counter under several labels. Beyond a thousand combinations of a series, new ones are counted together under `other`: a
+    /// fleet of many thousand teams must not grow its metrics without bound.
+    void count(std::string_view series, std::span<const MetricLabel> labels, std::int64_t amount = 1);
+
     /// Sets a gauge.
     void gauge(std::string_view series, MetricLabel label, std::int64_t value);
 
@@ -43,7 +48,7 @@
         double,
         boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, tag::BucketCounts>>;
 
-    static std::string labelText(MetricLabel label);
+    static std::string labelText(std::span<const MetricLabel> labels);
 
     mutable std::mutex m_mutex;
     std::map<std::string, std::map<std::string, std::int64_t>, std::less<>> m_counters;
--- a/src/tests/explanationtest.cpp
+++ b/src/tests/explanationtest.cpp
@@ -51,6 +51,26 @@
     BOOST_TEST(contains(explainRequest(log, "r1").cause, "held too little"));
 }
 
+// A router that keeps no part of the budget asks the store for none of its rows, so that only its checkpoints show the cut.
+BOOST_AUTO_TEST_CASE(budgetRefusalDuringACutAtABorrower)
+{
+    const auto log = logOf({
+        R"({"time_ms":9000,"event":"checkpoint.store_lost","host":"h1"})",
+        R"({"time_ms":12000,"event":"request.ended","host":"h1","request":"r1","team":"t1","outcome":"budget_unreachable","detail":"needs 9"})",
+    });
+    BOOST_TEST(contains(explainRequest(log, "r1").cause, "without the store for 3000 ms"));
+}
+
+BOOST_AUTO_TEST_CASE(loanThatWasTooSmall)
+{
+    const auto log = logOf({
+        R"({"time_ms":11900,"event":"budget.loan_short","host":"h1","team":"t1","wanted":900,"lent":200,"exhausted":0})",
+        R"({"time_ms":11900,"event":"budget.loan_short","host":"h1","team":"t2","wanted":5,"lent":0,"exhausted":0})",
+        R"({"time_ms":12000,"event":"request.ended","host":"h1","request":"r1","team":"t1","outcome":"budget_unreachable","detail":"needs 9"})",
+    });
+    BOOST_TEST(contains(explainRequest(log, "r1").cause, "lent it 200 of 900 tokens 100 ms before"));
+}
+
 BOOST_AUTO_TEST_CASE(streamBrokenByADyingTarget)
 {
     const auto log = logOf({
--- a/src/tests/metricstest.cpp
+++ b/src/tests/metricstest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(MetricsTest)
@@ -19,4 +21,19 @@
     BOOST_TEST(text.find("requests_total{outcome=\"answered\"} 2") != std::string::npos);
 }
 
+// A caller invents teams, or a fleet has many thousands: the process's memory must not follow.
+BOOST_AUTO_TEST_CASE(combinationsAreBounded)
+{
+    Metrics metrics;
+    constexpr int s_teams = 3000;
+    for (int team = 0; team < s_teams; ++team) {
+        const std::string name = std::to_string(team);
+        const std::array<MetricLabel, 2> labels{{{.name = "team", .value = name}, {.name = "outcome", .value = "answered"}}};
+        metrics.count("team_requests_total", labels);
+    }
+    const std::string text = metrics.text();
+    BOOST_TEST(text.find("team_requests_total{team=\"7\",outcome=\"answered\"} 1") != std::string::npos);
+    BOOST_TEST(text.find("team_requests_total{team=\"other\"} 2000") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
