After a restart of all, a budget's rest is shared out by what is left, and lenders give all they hold

The first routers had drawn 40% of the whole budget each way before any demand was known, and lent only what they might commit at that moment (7,562 of 33,795 held) to the one router that the team's callers came to.

Ruled out: the store (reachable throughout), recoveries (all over 0.5 s after the start).

Change: the first share is a part of what is left; a lender that is asked for more than it holds waits for a checkpoint and gives all.

--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -328,13 +328,14 @@
     const double own = demand(now);
     const auto ahead = static_cast<Tokens>(own * seconds(policy.horizon));
     const bool learned = m_servingSince && now - *m_servingSince >= policy.learnFor;
-    const Tokens initial = learned ? 0 : fraction(policy.initialShare, prepaid()) / static_cast<Tokens>(m_keepers.value_or(routers));
+    const Tokens held = m_row ? m_row->granted - committed() : 0;
+    const Tokens left = std::max<Tokens>(0, freeInPool() + m_unusedByActive + held);
+    // A part of what is left, not of what was paid for: routers that restart late in the day would take all of it before demand is known.
+    const Tokens initial = learned ? 0 : fraction(policy.initialShare, left) / static_cast<Tokens>(m_keepers.value_or(routers));
     const Tokens wanted = std::max(initial, own > 0 ? ahead + s_usualRequests * typicalUse() : 0);
     if (!learned || own <= 0) {
         return wanted;
     }
-    const Tokens held = m_row ? m_row->granted - committed() : 0;
-    const Tokens left = std::max<Tokens>(0, freeInPool() + m_unusedByActive + held);
     const double ownPart = own / (own + static_cast<double>(m_demandOfActive));
     return std::min(wanted, fraction(policy.scarceShare * ownPart, left));
 }
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -6,6 +6,7 @@
 #include "clock/instant.h"
 #include "store/rowstore.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -21,8 +22,8 @@
     /// A router aims to hold this much of its own demand. Cuts from the store last up to about nine seconds where the fleet runs today, and
     /// demand is not even; what is held beyond that is missing elsewhere.
     Duration horizon = std::chrono::seconds(18);
-    /// Before a router has seen any demand of a team, all routers together hold this share of the budget: a cut in the first seconds must
-    /// not find them empty.
+    /// Before a router has seen any demand of a team, all routers together hold this share of what is left of the budget: a cut in the
+    /// first seconds must not find them empty.
     double initialShare = 0.4;
     /// Demand is trusted, and what was drawn without it returned, once the router has served callers for this long.
     Duration learnFor = std::chrono::seconds(5);
@@ -251,6 +252,12 @@
     /// What may still be reserved now.
     Tokens available(Instant now) const;
 
+    /// Tokens held and not committed, whether or not they may be committed yet.
+    Tokens unused() const
+    {
+        return std::max<Tokens>(0, granted() - committed());
+    }
+
     /// What the pool had for anyone when it was last seen.
     Tokens freeInPool() const;
 
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -275,11 +275,13 @@
     }
     // What peers borrow is demand on the part that this router keeps.
     account.holding.noteRequest(asked, steadyNow());
-    const Wish wish{.bound = asked, .longest = m_options.longestLoanWait, .mayBorrow = false};
+    // When that is more than this router holds, the peer gets all of it, as soon as a checkpoint covers it.
+    const Tokens held = account.holding.unused();
+    const Wish wish{.bound = held > 0 ? std::min(asked, held) : asked, .longest = m_options.longestLoanWait, .mayBorrow = false};
     const std::variant<Reservation, HoldingRefusal> result = co_await waitFor(account, team, wish);
     if (const auto *reservation = std::get_if<Reservation>(&result)) {
         account.holding.lendReserved(*reservation);
-        co_return Loan{.tokens = asked};
+        co_return Loan{.tokens = wish.bound};
     }
     Loan loan{.tokens = account.holding.lend(asked, steadyNow())};
     logLine(Severity::Info,
--- a/src/tests/teamholdingtest.cpp
+++ b/src/tests/teamholdingtest.cpp
@@ -519,6 +519,24 @@
     BOOST_TEST(holding.remainingAnywhere() == s_prepaid);
 }
 
+// Late in the day one router after the other restarts. None of them takes more than its part of what is left before it knows any demand, or
+// the first ones would leave nothing to the router that the team's callers are sent to.
+BOOST_AUTO_TEST_CASE(aRestartTakesAPartOfWhatIsLeft)
+{
+    Single single;
+    Process &process = single.fleet.process(0);
+    process.holding.servingSince(process.now);
+    process.holding.noteRequest(90'000, process.now);
+    process.holding.addWaiting(90'000);
+    single.fleet.settleDown(0);
+    process.holding.removeWaiting(90'000);
+    reserve(single.fleet, process, 90'000);
+    BOOST_REQUIRE(process.reserved.size() == 1);
+    single.fleet.settleDown(0);
+    single.fleet.settleDown(1);
+    BOOST_TEST(single.fleet.process(1).holding.granted() <= 10'000 / 2);
+}
+
 // A router that ends in good order leaves nothing behind but what it spent.
 BOOST_AUTO_TEST_CASE(closingReturnsEverything)
 {
