--- a/src/budget/keepers.cpp
+++ b/src/budget/keepers.cpp
@@ -11,6 +11,7 @@
 std::vector<std::string> keepersOf(std::string_view team, Tokens prepaid, double usualBound, std::span<const std::string> routers)
 {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    ranked.reserve(routers.size());
     for (const std::string &router : routers) {
         ranked.emplace_back(mixed(stableHash(team) ^ stableHash(router)), router);
     }
@@ -19,6 +20,7 @@
     const auto worth = static_cast<std::size_t>(static_cast<double>(std::max<Tokens>(0, prepaid)) / (s_requestsPerKeeper * bound));
     ranked.resize(std::min(ranked.size(), std::max(s_fewestKeepers, worth)));
     std::vector<std::string> keepers;
+    keepers.reserve(ranked.size());
     for (auto &[weight, router] : ranked) {
         keepers.push_back(std::move(router));
     }
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -338,7 +338,8 @@
     const bool keeps = std::erase(keepers, m_options.link) > 0;
     // Each borrower begins with another keeper, so that all of them lend about as much.
     if (!keepers.empty()) {
-        std::ranges::rotate(keepers, keepers.begin() + static_cast<std::ptrdiff_t>(stableHash(m_options.link) % keepers.size()));
+        const auto first = static_cast<std::ptrdiff_t>(stableHash(m_options.link) % keepers.size());
+        std::rotate(keepers.begin(), keepers.begin() + first, keepers.end());
     }
     account.lenders = std::move(keepers);
     account.holding.setKeeps(keeps, count);
