--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -2,6 +2,7 @@
 
 #include "budget/demandmeter.h"
 #include "budget/holdercheckpoint.h"
+#include "budget/holdingpolicy.h"
 #include "budget/holdingrows.h"
 #include "clock/instant.h"
 #include "store/rowstore.h"
@@ -17,55 +18,6 @@
 
 namespace bamboohold {
 
-/// How a router sizes what it holds of a team's prepaid tokens.
-struct HoldingPolicy {
-    /// A router aims to hold this much of its own demand. Cuts from the store last up to about nine seconds where the fleet runs today, and
-    /// demand is not even; what is held beyond that is missing elsewhere.
-    Duration horizon = std::chrono::seconds(18);
-    /// Before a router has seen any demand of a team, all routers together hold this share of what is left of the budget: a cut in the
-    /// first seconds must not find them empty.
-    double initialShare = 0.4;
-    /// Demand is trusted, and what was drawn without it returned, once the router has served callers for this long.
-    Duration learnFor = std::chrono::seconds(5);
-    /// When the budget cannot fill every router's aim, this part of what is left is held in proportion to demand; the rest stays in the
-    /// pool for routers that join. A request larger than its router's part is helped by peers.
-    double scarceShare = 0.95;
-    /// Holdings above this multiple of the aim go back, and a draw is made below that part of it.
-    double surplusFactor = 1.2;
-    double refillBelow = 0.85;
-    /// Demand is averaged over this time: long enough for tens of requests, short enough to follow a team that triples within seconds.
-    Duration demandMemory = std::chrono::seconds(5);
-    /// Tokens are drawn and returned this often.
-    Duration changeInterval = std::chrono::milliseconds(900);
-    /// A holding that changed is written this often: what others know of it is that old.
-    Duration flushInterval = std::chrono::milliseconds(1800);
-    /// A holding that did not change is still written this often, or the others would take its holder for dead.
-    Duration refreshInterval = std::chrono::seconds(3);
-    /// What others hold and demand is read this often while there is any demand here.
-    Duration readInterval = std::chrono::milliseconds(900);
-    /// A request that cannot be reserved makes the holding read and flush at once, but no more often than this.
-    Duration urgentInterval = std::chrono::milliseconds(50);
-    /// A holder whose row is older takes part in nothing that is shared out now: it is dead, or cut off with what it has.
-    Duration staleAfter = std::chrono::seconds(6);
-    /// Changes below this part of the aim are not worth a conflict over the pool's row.
-    double smallestChange = 0.05;
-    /// Between two checkpoints a holder may commit its demand over this time at once, besides what waits for the checkpoint. A larger
-    /// request, or a burst, makes it write another one; what stands here is lost when it dies.
-    Duration burstSpan = std::chrono::milliseconds(300);
-    /// As time passes it may commit this multiple of its demand, and in any case what it holds over this span: demand of a few requests a
-    /// second is known roughly. Tight in the first seconds, where most deaths fall; wide later, when a cut must not waste what is held.
-    double paceOfDemand = 0.9;
-    Duration paceSpan = std::chrono::seconds(12);
-    double laterPaceOfDemand = 1.6;
-    Duration laterPaceSpan = std::chrono::seconds(6);
-    /// A lender keeps this much of its own demand, and a borrower asks for this much of its own beyond the request at hand, so that it does
-    /// not ask for each request anew.
-    Duration lendKeep = std::chrono::milliseconds(300);
-    Duration borrowAhead = std::chrono::seconds(1);
-    /// A router that keeps no part of the budget gives back what it borrowed after so long without a request.
-    Duration loanIdle = std::chrono::milliseconds(600);
-};
-
 /// A team's prepaid tokens as the newest routing plan states them.
 struct PrepaidStatement {
     Tokens prepaid = 0;
--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -132,6 +132,8 @@
             call.mutable_loan()->set_tokens(asked - total.tokens);
             const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(peer, std::move(call), m_options.peerTimeout);
             if (!answer.ok()) {
+                // What the peer may have set aside for this is lost to the team.
+                logLine(Severity::Warning, "budget.loan_unanswered", {{"team", team}, {"peer", peer}, {"asked", asked - total.tokens}});
                 m_silentUntil[peer] = steadyNow() + m_options.silencePause;
                 continue;
             }
