Relays beside the targets carry store calls of routers whose own way to the store is cut

Cause: what was refused though it was owed had two shares that pull against each other. A router that loses the store may go on by its checkpoint's promise, and all that the promise allows beyond what was committed is counted as spent when routers die.

Change: a cut concerns a router's path, seldom the store. A small process beside each target (TcpRelay) passes bytes on to the store; a router whose direct call failed sends the same call through a relay of its own failure domain, then through another (Detours, pure), and finds out by itself when the direct way is open again. Follows of configurations and targets go that way too. The relay keeps nothing and agrees on nothing; conditional writes stand a call that goes two ways.

Tests: DetoursTest, TcpRelayTest, RelayedStoreTest, PlatformSettingsTest.

--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -51,6 +51,8 @@
         std::string targetTable;
         std::function<absl::StatusOr<RoutingPlan::Content>(const StoredRow &)> planFrom;
         std::function<absl::StatusOr<TargetListing>(const StoredRow &)> listingFrom;
+        /// Opens the store by way of a relay beside a target; empty where no relays run.
+        typename Relayed::OpenDetour openDetour;
     };
 
     GatewayDaemon(WorkerPool &pool, Store &store, Options options)
@@ -58,6 +60,7 @@
         , m_executor(pool.mainLoop().get_executor())
         , m_options(std::move(options))
         , m_link(m_executor, {.self = text(m_options.link), .seeds = m_options.seeds})
+        , m_detours({.self = text(m_options.link), .failureDomain = m_options.gateway.board.failureDomain})
         , m_store(store, m_link)
         , m_registry(m_store, registryOptions())
         , m_ledger(m_executor,
@@ -72,6 +75,9 @@
         , m_readiness(pool, {.address = m_options.readiness.address, .port = m_options.readiness.port}, readinessHandler())
         , m_metricsServer(pool, {.address = m_options.metrics.address, .port = m_options.metrics.port}, metricsHandler())
     {
+        if (m_options.openDetour) {
+            m_store.setDetours(m_detours, m_options.openDetour);
+        }
     }
 
     /// Listens and begins to follow the store.
@@ -273,6 +279,7 @@
         for (const StoredRow &row : rows) {
             absl::StatusOr<TargetListing> listing = m_options.listingFrom(row);
             if (listing.ok()) {
+                m_detours.listed(listing->incarnation, listing->relay, listing->failureDomain);
                 listings.push_back(*std::move(listing));
             } else {
                 logLine(Severity::Error, "target.unreadable", {{"row", row.address.key}, {"detail", listing.status().message().data()}});
@@ -287,6 +294,7 @@
         if (row.version == 0) {
             logLine(Severity::Info, "target.unlisted", {{"target", row.address.key}});
             m_gateway.board().unlisted(row.address.key, steadyNow());
+            m_detours.unlisted(row.address.key);
             return;
         }
         absl::StatusOr<TargetListing> listing = m_options.listingFrom(row);
@@ -300,6 +308,7 @@
                  {"service", listing->service},
                  {"address", listing->address},
                  {"leaving", static_cast<std::int64_t>(listing->leaving)}});
+        m_detours.listed(listing->incarnation, listing->relay, listing->failureDomain);
         m_gateway.board().listed(*std::move(listing));
     }
 
@@ -349,6 +358,7 @@
     Options m_options;
     Metrics m_metrics;
     PeerLink m_link;
+    Detours m_detours;
     Relayed m_store;
     RouterRegistry<Relayed> m_registry;
     TeamLedger m_ledger;
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -30,6 +30,8 @@
     std::string failureDomain;
     bool leaving = false;
     Duration warmup{};
+    /// Where a relay to the store listens beside it, if one does; empty when none can.
+    std::string relay;
 };
 
 /// What a request needs of a target.
--- /dev/null
+++ b/src/membership/detours.cpp
@@ -0,0 +1,74 @@
+#include "membership/detours.h"
+
+#include "routing/stablehash.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace bamboohold {
+
+namespace {
+
+/// Beyond this, doubling a rest makes no difference any more.
+constexpr std::uint32_t s_mostDoublings = 6;
+
+}
+
+Detours::Detours(Options options)
+    : m_options(std::move(options))
+{
+}
+
+void Detours::listed(const std::string &target, const std::string &relay, const std::string &failureDomain)
+{
+    if (relay.empty()) {
+        return;
+    }
+    Relay &known = m_relays[target];
+    known.address = relay;
+    known.failureDomain = failureDomain;
+}
+
+void Detours::unlisted(const std::string &target)
+{
+    m_relays.erase(target);
+}
+
+std::optional<std::string> Detours::choose(Instant now) const
+{
+    const auto rank = [this](const Relay &relay) {
+        const std::uint64_t order = mixed(stableHash(m_options.self) ^ stableHash(relay.address));
+        return std::tuple(relay.failureDomain != m_options.failureDomain, relay.failures, order);
+    };
+    const Relay *best = nullptr;
+    for (const auto &[target, relay] : m_relays) {
+        const bool rests = now < relay.restsUntil;
+        if (!rests && (best == nullptr || rank(relay) < rank(*best))) {
+            best = &relay;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->address);
+}
+
+void Detours::failed(const std::string &relay, Instant now)
+{
+    for (auto &[target, known] : m_relays) {
+        if (known.address == relay) {
+            const Duration rest = m_options.firstRest * (std::int64_t{1} << std::min(known.failures, s_mostDoublings));
+            known.restsUntil = now + std::min(rest, m_options.longestRest);
+            ++known.failures;
+        }
+    }
+}
+
+void Detours::worked(const std::string &relay)
+{
+    for (auto &[target, known] : m_relays) {
+        if (known.address == relay) {
+            known.failures = 0;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/net/tcprelay.cpp
@@ -0,0 +1,154 @@
+#include "net/tcprelay.h"
+
+#include "clock/steadytime.h"
+#include "failure/failure.h"
+#include "net/pause.h"
+#include "operations/log.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace bamboohold {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
+/// Calls to the store and its answers are a few hundred bytes; larger ones pass in several pieces.
+constexpr std::size_t s_pieceBytes = 8192;
+/// After a failed accept, most likely for want of descriptors, some connections get time to end.
+constexpr Duration s_acceptPause = std::chrono::milliseconds(100);
+
+}
+
+struct TcpRelay::Session {
+    explicit Session(tcp::socket taken)
+        : caller(std::move(taken))
+        , upstream(caller.get_executor())
+        , timer(caller.get_executor())
+    {
+    }
+
+    void end()
+    {
+        boost::system::error_code ignored;
+        caller.close(ignored);
+        upstream.close(ignored);
+        timer.cancel();
+    }
+
+    tcp::socket caller;
+    tcp::socket upstream;
+    asio::steady_timer timer;
+    /// When the session ends unless something passes before.
+    Instant deadline{};
+};
+
+TcpRelay::TcpRelay(asio::any_io_executor executor, Options options)
+    : m_executor(std::move(executor))
+    , m_options(std::move(options))
+    , m_acceptor(m_executor)
+{
+}
+
+absl::Status TcpRelay::open()
+{
+    boost::system::error_code error;
+    m_acceptor.open(m_options.listen.protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        m_acceptor.bind(m_options.listen, error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return failed(FailureKind::InvalidSetting, absl::StrCat("the relay cannot listen: ", error.message()));
+    }
+    asio::co_spawn(m_executor, accept(), asio::detached);
+    return absl::OkStatus();
+}
+
+void TcpRelay::close()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+std::uint16_t TcpRelay::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+asio::awaitable<void> TcpRelay::accept()
+{
+    while (m_acceptor.is_open()) {
+        auto [error, socket] = co_await m_acceptor.async_accept(s_tuple);
+        if (error && m_acceptor.is_open()) {
+            logLine(Severity::Warning, "relay.accept_failed", {{"detail", error.message()}});
+            co_await pause(s_acceptPause);
+        }
+        if (error || m_open >= m_options.mostConnections) {
+            // A closed connection sends the caller to another relay at once.
+            continue;
+        }
+        auto session = std::make_shared<Session>(std::move(socket));
+        asio::co_spawn(m_executor, serve(std::move(session)), asio::detached);
+    }
+}
+
+asio::awaitable<void> TcpRelay::serve(SessionPtr session)
+{
+    ++m_open;
+    session->deadline = steadyNow() + m_options.connectTimeout;
+    asio::co_spawn(m_executor, watch(session), asio::detached);
+    auto [error] = co_await session->upstream.async_connect(m_options.upstream, s_tuple);
+    if (!error) {
+        boost::system::error_code ignored;
+        session->caller.set_option(tcp::no_delay(true), ignored);
+        session->upstream.set_option(tcp::no_delay(true), ignored);
+        asio::co_spawn(m_executor, pass(session, false), asio::detached);
+        co_await pass(session, true);
+    }
+    session->end();
+    --m_open;
+}
+
+asio::awaitable<void> TcpRelay::watch(SessionPtr session)
+{
+    while (session->caller.is_open() && steadyNow() < session->deadline) {
+        session->timer.expires_after(session->deadline - steadyNow());
+        co_await session->timer.async_wait(s_tuple);
+    }
+    session->end();
+}
+
+asio::awaitable<void> TcpRelay::pass(SessionPtr session, bool fromCaller)
+{
+    tcp::socket &from = fromCaller ? session->caller : session->upstream;
+    tcp::socket &to = fromCaller ? session->upstream : session->caller;
+    std::array<char, s_pieceBytes> piece{};
+    bool open = true;
+    while (open) {
+        session->deadline = steadyNow() + m_options.idleTimeout;
+        auto [readError, size] = co_await from.async_read_some(asio::buffer(piece), s_tuple);
+        if (readError) {
+            break;
+        }
+        auto [writeError, written] = co_await asio::async_write(to, asio::buffer(piece.data(), size), s_tuple);
+        open = !writeError;
+    }
+    // One end closed: neither can make use of the other, and a call without its answer must not look open.
+    session->end();
+}
+
+}
