--- a/src/budget/checkpointrow.cpp
+++ b/src/budget/checkpointrow.cpp
@@ -14,16 +14,14 @@
 namespace {
 
 constexpr double s_msPerSecond = 1000;
-/// How long the first rate of a commitment holds: a checkpoint's age of a quarter of a second, and a restart of one to two seconds.
-constexpr double s_firstSeconds = 2;
 /// Numbers in a commitment's text.
-constexpr std::size_t s_numbers = 4;
+constexpr std::size_t s_numbers = 3;
 
 boost::json::object toJson(const Checkpoint &checkpoint)
 {
     boost::json::object teams;
     for (const auto &[team, commitment] : checkpoint.teams) {
-        teams[team] = boost::json::array{commitment.committed, commitment.burst, commitment.rate, commitment.laterRate};
+        teams[team] = boost::json::array{commitment.committed, commitment.burst, commitment.rate};
     }
     boost::json::object object{{"incarnation", checkpoint.incarnation},
                                {"sequence", checkpoint.sequence},
@@ -39,12 +37,9 @@
 {
     const boost::json::array &numbers = value.as_array();
     if (numbers.size() != s_numbers) {
-        throw std::invalid_argument("a commitment has four numbers");
+        throw std::invalid_argument("a commitment has three numbers");
     }
-    return {.committed = numbers[0].as_int64(),
-            .burst = numbers[1].as_int64(),
-            .rate = numbers[2].as_int64(),
-            .laterRate = numbers[3].as_int64()};
+    return {.committed = numbers[0].as_int64(), .burst = numbers[1].as_int64(), .rate = numbers[2].as_int64()};
 }
 
 Checkpoint checkpointFrom(const boost::json::value &value)
@@ -66,9 +61,8 @@
 
 Tokens Commitment::most(double elapsedSeconds) const
 {
-    const double first = std::clamp(elapsedSeconds, 0.0, s_firstSeconds);
-    const double later = std::max(0.0, elapsedSeconds - s_firstSeconds);
-    return committed + burst + static_cast<Tokens>(static_cast<double>(rate) * first + static_cast<double>(laterRate) * later);
+    const double growing = std::max(0.0, elapsedSeconds - seconds(s_stillTime));
+    return committed + burst + static_cast<Tokens>(static_cast<double>(rate) * growing);
 }
 
 Tokens Checkpoint::mostCommitted(std::string_view team, StoreTimeMs deadBy) const
--- a/src/budget/checkpointrow.h
+++ b/src/budget/checkpointrow.h
@@ -18,15 +18,20 @@
 /// The key of a checkpoint's row.
 inline constexpr std::string_view s_checkpointKey = "newest";
 
+/// A commitment does not grow for this long. A router in touch with the store writes another one sooner, so the growth serves outages of
+/// the store alone; and what it allows is lost when routers die, since nobody knows how much of it was used. Killed processes and hosts
+/// without power are most often back within 2.5 s. With growth from the start, at 0.9 of demand or more, all routers' deaths counted 3.5
+/// to 9.8% of what teams had paid as spent, of which 0.2 to 2.5% had been; requests refused for it were 7% of all, and are 0.9 to 2.3%
+/// (days of three fleets of 5, two seeds a day).
+inline constexpr Duration s_stillTime = std::chrono::milliseconds(2500);
+
 /// What a router promises about one team from the moment of a checkpoint until its next one.
 struct Commitment {
     /// Tokens spent for good, lent, or reserved at that moment.
     Tokens committed = 0;
-    /// On top of it: this much at once, and so many tokens a second, in the first seconds and afterwards. A router that dies is followed
-    /// within seconds as a rule, and what it could have committed until then is lost; one that is cut off needs its holding later.
+    /// On top of it: this much at once, and once `s_stillTime` has passed so many tokens a second.
     Tokens burst = 0;
     Tokens rate = 0;
-    Tokens laterRate = 0;
 
     /// The most that is committed this long after the checkpoint.
     Tokens most(double elapsedSeconds) const;
--- a/src/budget/holdingpolicy.h
+++ b/src/budget/holdingpolicy.h
@@ -40,13 +40,11 @@
     double smallestChange = 0.05;
     /// Between two checkpoints a holder may commit its demand over this time at once, besides what waits for the checkpoint. A larger
     /// request, or a burst, makes it write another one; what stands here is lost when it dies.
-    Duration burstSpan = std::chrono::milliseconds(300);
-    /// As time passes it may commit this multiple of its demand, and in any case what it holds over this span: demand of a few requests a
-    /// second is known roughly. Tight in the first seconds, where most deaths fall; wide later, when a cut must not waste what is held.
-    double paceOfDemand = 0.9;
+    Duration burstSpan = std::chrono::milliseconds(100);
+    /// Once a commitment grows (s_stillTime), it does so by this multiple of demand, to make up for the time in which it did not, and in
+    /// any case by what is held over this span: demand of a few requests a second is known roughly.
+    double paceOfDemand = 1.6;
     Duration paceSpan = std::chrono::seconds(12);
-    double laterPaceOfDemand = 1.6;
-    Duration laterPaceSpan = std::chrono::seconds(6);
     /// A lender keeps this much of its own demand, and a borrower asks for this much of its own beyond the request at hand, so that it does
     /// not ask for each request anew.
     Duration lendKeep = std::chrono::milliseconds(300);
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -65,14 +65,10 @@
         return std::nullopt;
     }
     const double wanted = demand(now);
-    const auto rate = [&](double ofDemand, Duration span) {
-        return static_cast<Tokens>(std::max(ofDemand * wanted, static_cast<double>(unused) / seconds(span)));
-    };
+    const double pace = std::max(policy.paceOfDemand * wanted, static_cast<double>(unused) / seconds(policy.paceSpan));
     const auto ahead = static_cast<Tokens>(wanted * seconds(policy.burstSpan));
-    return Commitment{.committed = committed(),
-                      .burst = std::min(unused, ahead + m_waiting),
-                      .rate = std::min(unused, rate(policy.paceOfDemand, policy.paceSpan)),
-                      .laterRate = std::min(unused, rate(policy.laterPaceOfDemand, policy.laterPaceSpan))};
+    return Commitment{
+        .committed = committed(), .burst = std::min(unused, ahead + m_waiting), .rate = std::min(unused, static_cast<Tokens>(pace))};
 }
 
 std::optional<Duration> TeamHolding::timeUntilPaced(Tokens bound, Instant now, Duration horizon) const
--- a/src/tests/holdercheckpointtest.cpp
+++ b/src/tests/holdercheckpointtest.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr StoreTimeMs s_storeStart = 50'000;
-const Commitment s_promise{.committed = 1000, .burst = 200, .rate = 100, .laterRate = 400};
+const Commitment s_promise{.committed = 1000, .burst = 200, .rate = 400};
 
 Duration ms(std::int64_t value)
 {
@@ -74,8 +74,9 @@
     BOOST_TEST(router.checkpoint.limit("team", router.now) == 0);
     BOOST_TEST(router.write({{"team", s_promise}}));
     BOOST_TEST(router.checkpoint.limit("team", router.now) == 1200);
-    BOOST_TEST(router.checkpoint.limit("team", router.now + ms(1000)) == 1300);
-    BOOST_TEST(router.checkpoint.limit("team", router.now + ms(3000)) == 1800);
+    BOOST_TEST(router.checkpoint.limit("team", router.now + ms(2500)) == 1200);
+    BOOST_TEST(router.checkpoint.limit("team", router.now + ms(3000)) == 1400);
+    BOOST_TEST(router.checkpoint.limit("team", router.now + ms(4500)) == 2000);
     BOOST_TEST(router.checkpoint.limit("another", router.now) == 0);
 }
 
@@ -92,20 +93,20 @@
     BOOST_TEST(router.checkpoint.limit("team", router.now + ms(5000)) == 1000);
 }
 
-// A router dies half a second after its checkpoint, and its successor starts 400 ms later while the store is slow. It counts the 900 ms in
-// which the dead process may have committed, and not the time for which it waited itself.
+// A router dies three seconds after its checkpoint, and its successor starts 400 ms later while the store is slow. It counts the 3,400 ms
+// in which the dead process may have committed, and not the time for which it waited itself.
 BOOST_AUTO_TEST_CASE(theSuccessorCountsUpToItsOwnStart)
 {
     MemoryRows store;
     Router dead(store, "a", Instant(ms(1000)));
     dead.start({{"team", s_promise}});
-    Router successor(store, "b", Instant(ms(1900)));
+    Router successor(store, "b", Instant(ms(4250)));
     successor.read();
     const RowTransaction unanswered = successor.plan({});
     successor.checkpoint.lost();
     successor.now += ms(3000);
     BOOST_TEST(successor.write({}));
-    BOOST_TEST(successor.checkpoint.spentBy("a", "team").value() == 1290);
+    BOOST_TEST(successor.checkpoint.spentBy("a", "team").value() == 1500);
     BOOST_TEST(successor.checkpoint.spentBy("a", "another").value() == 0);
     BOOST_TEST(!successor.checkpoint.spentBy("unknown", "team").has_value());
 }
@@ -139,11 +140,11 @@
     MemoryRows store;
     Router first(store, "a", Instant(ms(1000)));
     first.start({{"team", s_promise}});
-    Router second(store, "b", Instant(ms(1500)));
+    Router second(store, "b", Instant(ms(4000)));
     second.start({});
     Router third(store, "c", Instant(ms(9000)));
     third.start({});
-    BOOST_TEST(third.checkpoint.spentBy("a", "team").value() == 1250);
+    BOOST_TEST(third.checkpoint.spentBy("a", "team").value() == 1400);
     BOOST_TEST(third.checkpoint.spentBy("b", "team").value() == 0);
     third.checkpoint.forgetEarlier();
     BOOST_TEST(third.write({}));
--- a/src/tests/teamholdingtest.cpp
+++ b/src/tests/teamholdingtest.cpp
@@ -385,13 +385,13 @@
     BOOST_TEST(holding.granted() == granted);
 }
 
-// A router dies a moment after a flush, with most of what it held unused. Its successor gets nearly all of it back into the pool at once:
-// only what the predecessor could have committed since its last flush stays counted as spent.
+// A router dies three seconds after its last checkpoint, with most of what it held unused. Its successor gets nearly all of it back into
+// the pool at once: only what the predecessor could have committed since that checkpoint stays counted as spent.
 BOOST_AUTO_TEST_CASE(successorReturnsMostOfWhatWasHeld)
 {
     Single single;
     const Tokens held = single.holding.granted();
-    single.fleet.pass(ms(500), std::nullopt);
+    single.fleet.pass(ms(3000), std::nullopt);
     single.fleet.replace(0);
     single.fleet.settleDown(0);
     TeamHolding &successor = single.fleet.process(0).holding;
@@ -418,9 +418,9 @@
     BOOST_TEST(process.reserved.size() == 1);
 }
 
-// Every router loses power at once, a quarter of a second after its last checkpoint, and is back a second later. Of what the fleet held,
-// the team loses two seconds' demand or so, and not a fixed number of requests for each router: with many routers that was a tenth of the
-// day's budget.
+// Every router loses power at once, a quarter of a second after its last checkpoint, and is back two seconds later. Of what the fleet held,
+// the team loses a quarter of a second's demand at most; it was up to two and a half seconds' of it, and the team's requests were refused
+// at the end of the day for tokens that nobody had got.
 BOOST_AUTO_TEST_CASE(deathInTouchLosesLittleMoreThanADemand)
 {
     Single single;
@@ -440,14 +440,41 @@
     const Tokens spent = single.holding.committed();
     BOOST_TEST(spent == 40 * s_bound);
     single.fleet.pass(ms(250), std::nullopt);
-    single.fleet.pass(ms(1000), 0);
-    process.now += ms(1000);
+    single.fleet.pass(ms(2000), 0);
+    process.now += ms(2000);
     single.fleet.replace(0);
     single.fleet.settleDown(0);
     const Tokens lost = s_prepaid - spent - single.fleet.process(0).holding.remainingAnywhere();
     constexpr Tokens s_demandASecond = 600;
     BOOST_TEST(lost >= 0);
-    BOOST_TEST(lost <= 5 * s_demandASecond / 2);
+    BOOST_TEST(lost <= s_demandASecond / 4);
+}
+
+// The store is away for nine seconds. A router goes on serving its callers out of what it holds: after the first moments, in which it might
+// have died, as much as they ask for.
+BOOST_AUTO_TEST_CASE(aLongOutageIsServedOutOfTheHolding)
+{
+    Single single;
+    Process &process = single.fleet.process(0);
+    process.holding.servingSince(process.now);
+    constexpr Tokens s_bound = 300;
+    constexpr int s_requests = 40;
+    for (int request = 0; request < s_requests; ++request) {
+        process.holding.noteRequest(s_bound, process.now);
+        process.holding.addWaiting(s_bound);
+        single.fleet.checkpoint(0, Fleet::Fate::Answered);
+        process.holding.removeWaiting(s_bound);
+        reserve(single.fleet, process, s_bound);
+        settle(single.fleet, process, s_bound);
+        single.fleet.pass(ms(500), std::nullopt);
+        single.fleet.settleDown(0);
+    }
+    const Tokens before = process.holding.available(process.now);
+    single.fleet.pass(ms(2400), std::nullopt);
+    BOOST_TEST(process.holding.available(process.now) == before);
+    single.fleet.pass(ms(6600), std::nullopt);
+    constexpr Tokens s_demandASecond = 600;
+    BOOST_TEST(process.holding.available(process.now) >= 9 * s_demandASecond);
 }
 
 // The budget is nearly used up and each router holds less than a request's worth. One of them gets what the others cannot use, and serves
@@ -542,8 +569,9 @@
 {
     Single single;
     Process &process = single.fleet.process(0);
-    single.fleet.pass(ms(1000), std::nullopt);
+    single.fleet.pass(ms(4000), std::nullopt);
     reserve(single.fleet, process, 500);
+    BOOST_TEST(process.reserved.size() == 1);
     settle(single.fleet, process, 200);
     single.holding.beginClose();
     single.fleet.flush(0, Fleet::Fate::Answered);
