Requests wait 300 ms at most for a starting router's first configuration and targets

Ruled out: a shorter time to come back, which a caller keeps only from its own retry on.

Change: a request waits for the first plan and the first targets, counted in its own time; after 300 ms it is refused as before.

Test: requestsWaitForTheFirstPlan.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "clock/steadytime.h"
 #include "gateway/requestrun.h"
 
 #include <absl/strings/numbers.h>
@@ -30,17 +31,30 @@
     , m_metrics(metrics)
     , m_board(m_options.board)
     , m_retries(m_options.retries)
+    , m_becameReady(m_executor)
     , m_random(m_options.seed)
 {
 }
 
 asio::awaitable<void> Gateway::handle(HttpExchange &exchange)
 {
+    const Instant arrived = steadyNow();
+    if (!ready()) {
+        co_await waitUntilReady();
+    }
     // The request keeps the plan it came under, also when a newer one arrives while it runs.
-    RequestRun run(*this, exchange, m_plan);
+    RequestRun run(*this, exchange, m_plan, arrived);
     co_await run.serve();
 }
 
+asio::awaitable<void> Gateway::waitUntilReady()
+{
+    const Instant giveUp = steadyNow() + m_options.startPatience;
+    while (!ready() && steadyNow() < giveUp) {
+        co_await m_becameReady.wait(giveUp - steadyNow());
+    }
+}
+
 bool Gateway::setPlan(std::shared_ptr<const RoutingPlan> plan)
 {
     if (m_plan && plan->version() <= m_plan->version()) {
@@ -52,6 +66,7 @@
             m_ledger.setPrepaid(team.name, {.prepaid = *team.prepaid, .planVersion = m_plan->version()});
         }
     }
+    m_becameReady.notify();
     return true;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/targetboard.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "net/signal.h"
 #include "operations/metrics.h"
 
 #include <functional>
@@ -29,6 +30,10 @@
         RetryBudget::Options retries;
         /// Routers that share the retry budget, this one included.
         std::function<std::size_t()> routers;
+        /// A router that has just started has its configuration and targets after 25 to 50 ms, and all callers that could not connect
+        /// before come at once: 50 to 60 requests were refused in those moments on a fleet of 5, and were late when they came back. They
+        /// wait for this long at most; longer, and the store is most likely away.
+        Duration startPatience = std::chrono::milliseconds(300);
         /// Seeds the choice among the services of a split route.
         std::uint64_t seed = 1;
     };
@@ -65,6 +70,12 @@
         m_end = end;
     }
 
+    /// Targets became known: requests may have waited for the first ones.
+    void targetsKnown()
+    {
+        m_becameReady.notify();
+    }
+
     /// What is known of the targets.
     TargetBoard &board()
     {
@@ -77,6 +88,13 @@
 private:
     friend class RequestRun;
 
+    bool ready() const
+    {
+        return m_plan != nullptr && !m_board.empty();
+    }
+
+    asio::awaitable<void> waitUntilReady();
+
     /// The connections to one target. A process that has taken over an address gets connections of its own: one that its predecessor left
     /// half open would swallow a request.
     std::shared_ptr<HttpClient> client(const Placement &placement);
@@ -89,6 +107,8 @@
     TargetBoard m_board;
     RetryBudget m_retries;
     std::shared_ptr<const RoutingPlan> m_plan;
+    /// The first plan or the first targets came.
+    Signal m_becameReady;
     /// By incarnation.
     std::map<std::string, std::shared_ptr<HttpClient>> m_clients;
     std::mt19937_64 m_random;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -287,6 +287,7 @@
         }
         m_targetsKnown = true;
         m_gateway.board().setAll(std::move(listings), steadyNow());
+        m_gateway.targetsKnown();
     }
 
     void takeTarget(const StoredRow &row)
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -60,11 +60,11 @@
 
 }
 
-RequestRun::RequestRun(Gateway &gateway, HttpExchange &exchange, std::shared_ptr<const RoutingPlan> plan)
+RequestRun::RequestRun(Gateway &gateway, HttpExchange &exchange, std::shared_ptr<const RoutingPlan> plan, Instant arrived)
     : m_gateway(gateway)
     , m_exchange(exchange)
     , m_plan(std::move(plan))
-    , m_arrived(steadyNow())
+    , m_arrived(arrived)
 {
     ++m_gateway.m_inFlight;
 }
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -17,7 +17,8 @@
 class RequestRun
 {
 public:
-    RequestRun(Gateway &gateway, HttpExchange &exchange, std::shared_ptr<const RoutingPlan> plan);
+    /// `arrived`: when the whole request had been read.
+    RequestRun(Gateway &gateway, HttpExchange &exchange, std::shared_ptr<const RoutingPlan> plan, Instant arrived);
     ~RequestRun();
 
     RequestRun(const RequestRun &) = delete;
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -131,6 +131,12 @@
     /// Another process answers at the target's address.
     void replaced(const std::string &incarnation);
 
+    /// True while no target is known at all.
+    bool empty() const
+    {
+        return m_targets.empty();
+    }
+
     /// True while the target is known, leaving and doubted ones included.
     bool lists(const std::string &incarnation) const
     {
--- a/src/tests/gatewaytest.cpp
+++ b/src/tests/gatewaytest.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -77,8 +78,11 @@
 class Scene
 {
 public:
-    explicit Scene(std::vector<std::vector<PeerAction>> scripts, bool withPlan = true)
-        : m_pool(1)
+    explicit Scene(std::vector<std::vector<PeerAction>> scripts,
+                   bool withPlan = true,
+                   Duration startPatience = std::chrono::milliseconds(20))
+        : m_startPatience(startPatience)
+        , m_pool(1)
         , m_ledger(m_pool.mainLoop().get_executor(), {.holder = "router", .incarnation = "router~1"})
         , m_gateway(m_pool.mainLoop().get_executor(), options(), m_ledger, m_metrics)
         , m_server(m_pool, {.address = "127.0.0.1", .port = s_port, .exclusive = true}, [this](HttpExchange &exchange) {
@@ -112,6 +116,19 @@
         return answer;
     }
 
+    /// The configuration comes once a request waits for it.
+    void bringPlanLate()
+    {
+        asio::co_spawn(
+            m_pool.mainLoop(),
+            [this]() -> asio::awaitable<void> {
+                asio::steady_timer timer(m_pool.mainLoop(), std::chrono::milliseconds(50));
+                co_await timer.async_wait(s_tuple);
+                m_gateway.setPlan(testPlan());
+            },
+            asio::detached);
+    }
+
     /// The first target's address goes over to another process.
     void replaceFirstTarget()
     {
@@ -143,6 +160,7 @@
         Gateway::Options options;
         options.codec = testCodec();
         options.board.failureDomain = "here";
+        options.startPatience = m_startPatience;
         options.routers = [] {
             return std::size_t(1);
         };
@@ -168,6 +186,7 @@
         co_await asio::async_read(socket, asio::dynamic_buffer(answer), s_tuple);
     }
 
+    Duration m_startPatience;
     WorkerPool m_pool;
     Metrics m_metrics;
     TeamLedger m_ledger;
@@ -252,6 +271,16 @@
     BOOST_TEST(contains(answer, "X-Retry-Ms: "));
 }
 
+// All routers restart, and every caller that could not connect meanwhile comes at once, some milliseconds before the first configuration.
+// They were refused and late when they came back; now they are served.
+BOOST_AUTO_TEST_CASE(requestsWaitForTheFirstPlan)
+{
+    Scene scene({{sound()}}, false, std::chrono::seconds(30));
+    scene.bringPlanLate();
+    BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(scene.runs() == 1U);
+}
+
 // A target declines; the request has not run and goes elsewhere, also when it must not run twice.
 BOOST_AUTO_TEST_CASE(declinedGoesElsewhere)
 {
