--- a/src/budget/holdingpolicy.h
+++ b/src/budget/holdingpolicy.h
@@ -49,6 +49,9 @@
     /// any case by what is held over this span: demand of a few requests a second is known roughly.
     double paceOfDemand = 1.6;
     Duration paceSpan = std::chrono::seconds(12);
+    /// Whether few routers keep a small budget, and whether routers lend. Off, every router keeps a part and lives on it.
+    bool fewKeepers = true;
+    bool loans = true;
     /// A lender keeps this much of its own demand, and a borrower asks for this much of its own beyond the request at hand, so that it does
     /// not ask for each request anew.
     Duration lendKeep = std::chrono::milliseconds(300);
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -193,7 +193,7 @@
 bool TeamLedger::mayBorrow(const Entry &account, HoldingRefusal refusal, Tokens bound) const
 {
     const bool pointless = refusal == HoldingRefusal::Exhausted || (account.holding.keeps() && storeHelps(account, refusal, bound));
-    return m_borrow && !pointless && !account.borrowing && steadyNow() >= account.borrowAgainAt;
+    return m_options.policy.loans && m_borrow && !pointless && !account.borrowing && steadyNow() >= account.borrowAgainAt;
 }
 
 Instant TeamLedger::checkpointDue(Instant now) const
@@ -336,7 +336,8 @@
     if (m_routers.empty()) {
         return;
     }
-    std::vector<std::string> keepers = keepersOf(team, account.holding.prepaid(), account.holding.usualBound(), m_routers);
+    std::vector<std::string> keepers =
+        m_options.policy.fewKeepers ? keepersOf(team, account.holding.prepaid(), account.holding.usualBound(), m_routers) : m_routers;
     const std::size_t count = keepers.size();
     const bool keeps = std::erase(keepers, m_options.link) > 0;
     // Each borrower begins with another keeper, so that all of them lend about as much.
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -3,6 +3,7 @@
 #include "budget/checkpointkeeper.h"
 #include "budget/ledgerkeeper.h"
 #include "gateway/gateway.h"
+#include "gateway/mechanisms.h"
 #include "gateway/peerhelp.h"
 #include "membership/routerregistry.h"
 #include "store/tablewatcher.h"
@@ -53,15 +54,16 @@
         std::function<absl::StatusOr<TargetListing>(const StoredRow &)> listingFrom;
         /// Opens the store by way of a relay beside a target; empty where no relays run.
         typename Relayed::OpenDetour openDetour;
+        Mechanisms mechanisms;
     };
 
     GatewayDaemon(WorkerPool &pool, Store &store, Options options)
         : m_pool(pool)
         , m_executor(pool.mainLoop().get_executor())
-        , m_options(std::move(options))
+        , m_options(applied(std::move(options)))
         , m_link(m_executor, {.self = text(m_options.link), .seeds = m_options.seeds})
         , m_detours({.self = text(m_options.link), .failureDomain = m_options.gateway.board.failureDomain})
-        , m_store(store, m_link)
+        , m_store(store, m_link, {.relaysTried = m_options.mechanisms.carriedCalls ? s_carriersTried : 0})
         , m_registry(m_store, registryOptions())
         , m_ledger(m_executor,
                    {.holder = holder(), .incarnation = m_options.incarnation, .policy = m_options.holdings, .link = text(m_options.link)})
@@ -75,7 +77,7 @@
         , m_readiness(pool, {.address = m_options.readiness.address, .port = m_options.readiness.port}, readinessHandler())
         , m_metricsServer(pool, {.address = m_options.metrics.address, .port = m_options.metrics.port}, metricsHandler())
     {
-        if (m_options.openDetour) {
+        if (m_options.openDetour && m_options.mechanisms.relays) {
             m_store.setDetours(m_detours, m_options.openDetour);
         }
     }
@@ -127,6 +129,32 @@
     static constexpr Duration s_poll = std::chrono::milliseconds(50);
     static constexpr Duration s_shortPoll = std::chrono::milliseconds(10);
 
+    /// Peers that are asked to carry one store call.
+    static constexpr std::size_t s_carriersTried = 3;
+
+    /// The options without what the mechanisms leave out.
+    static Options applied(Options options)
+    {
+        const Mechanisms &on = options.mechanisms;
+        options.holdings.fewKeepers = on.keepers;
+        options.holdings.loans = on.loans;
+        options.gateway.board.favourites = on.favourites;
+        options.gateway.board.ejects = on.ejection;
+        if (!on.ampleBudgets) {
+            options.holdings.ampleSpan = s_never;
+        }
+        if (!on.startPatience) {
+            options.gateway.startPatience = Duration::zero();
+        }
+        if (!on.silence) {
+            options.gateway.board.patience = s_never;
+        }
+        return options;
+    }
+
+    /// Longer than any process lives.
+    static constexpr Duration s_never = std::chrono::hours(24 * 365);
+
     static std::string text(const Address &address)
     {
         return absl::StrCat(address.address, ":", address.port);
--- /dev/null
+++ b/src/gateway/mechanisms.cpp
@@ -0,0 +1,47 @@
+#include "gateway/mechanisms.h"
+
+#include "failure/failure.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+namespace bamboohold {
+
+namespace {
+
+struct Switch {
+    std::string_view name;
+    bool Mechanisms::*on;
+};
+
+constexpr std::array<Switch, 9> s_switches{{{"relays", &Mechanisms::relays},
+                                            {"carried-calls", &Mechanisms::carriedCalls},
+                                            {"keepers", &Mechanisms::keepers},
+                                            {"loans", &Mechanisms::loans},
+                                            {"ample-budgets", &Mechanisms::ampleBudgets},
+                                            {"start-patience", &Mechanisms::startPatience},
+                                            {"favourites", &Mechanisms::favourites},
+                                            {"silence", &Mechanisms::silence},
+                                            {"ejection", &Mechanisms::ejection}}};
+
+}
+
+absl::StatusOr<Mechanisms> mechanismsWithout(std::string_view list)
+{
+    Mechanisms mechanisms;
+    const std::vector<std::string> names = absl::StrSplit(std::string(list), ',', absl::SkipEmpty());
+    for (const std::string &name : names) {
+        const auto found = std::ranges::find(s_switches, name, &Switch::name);
+        if (found == s_switches.end()) {
+            return failed(FailureKind::InvalidSetting, absl::StrCat("there is no mechanism '", name, "' to leave out"));
+        }
+        mechanisms.*(found->on) = false;
+    }
+    return mechanisms;
+}
+
+}
--- a/src/gateway/targetboard.cpp
+++ b/src/gateway/targetboard.cpp
@@ -95,7 +95,7 @@
 
 std::string TargetBoard::favourite(std::string_view service, std::span<const PromptPart> prompt) const
 {
-    if (prompt.size() < 2) {
+    if (prompt.size() < 2 || !m_options.favourites) {
         return {};
     }
     const std::uint64_t shared = prompt[prompt.size() - 2].id;
@@ -243,6 +243,9 @@
 
 void TargetBoard::pauseBroken(Target &target, Instant now) const
 {
+    if (!m_options.ejects) {
+        return;
+    }
     const Duration pause = m_options.firstPause * (std::int64_t{1} << std::min(target.failures, s_maxDoublings));
     target.pausedUntil = now + std::min(m_options.longestPause, pause);
     ++target.failures;
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -95,6 +95,9 @@
         /// A request that waits longer than this for its first byte speaks against its target, by as much as it waits longer. A target that
         /// has gone silent says nothing else.
         Duration patience = std::chrono::milliseconds(400);
+        /// Whether requests with the same part of a prompt prefer one target, and whether targets that fail rest.
+        bool favourites = true;
+        bool ejects = true;
         /// Milliseconds counted against a target in another failure domain: the way there and back, and traffic that is paid for.
         double msOtherDomain = 4;
     };
--- a/src/membership/relayedstore.h
+++ b/src/membership/relayedstore.h
@@ -38,7 +38,7 @@
         Duration relayTimeout = std::chrono::milliseconds(700);
         /// While no peer reaches the store either, they are asked this often.
         Duration relayPause = std::chrono::milliseconds(400);
-        /// Peers tried for one call: they are told apart only by asking.
+        /// Peers tried for one call: they are told apart only by asking. 0: none.
         std::size_t relaysTried = 3;
         /// Relays tried for one call: the second stands in for one that has just gone.
         std::size_t detoursTried = 2;
