Addresses as text are read in one place; the router's carried calls have one limit

Cause: the gateway and the adapter each read ADDRESS:PORT, and the daemon repeated a limit of RelayedStore.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,28 +2,10 @@
 
 #include "clock/steadytime.h"
 #include "gateway/requestrun.h"
-
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
+#include "net/endpoint.h"
 
 namespace bamboohold {
 
-namespace {
-
-/// The endpoint written as ADDRESS:PORT; port 0 when it is not one, to which every connection fails.
-asio::ip::tcp::endpoint parsedEndpoint(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    std::uint32_t port = 0;
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address(std::string(text.substr(0, colon)), error);
-    const bool valid =
-        colon != std::string_view::npos && absl::SimpleAtoi(std::string(text.substr(colon + 1)), &port) && port <= UINT16_MAX;
-    return valid && !error ? asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(port)) : asio::ip::tcp::endpoint();
-}
-
-}
-
 Gateway::Gateway(asio::any_io_executor executor, Options options, TeamLedger &ledger, Metrics &metrics)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
@@ -74,7 +56,8 @@
 {
     auto &client = m_clients[placement.incarnation];
     if (!client) {
-        client = std::make_shared<HttpClient>(m_executor, parsedEndpoint(placement.address));
+        // Every connection to an address that is none fails, as to one where nobody listens.
+        client = std::make_shared<HttpClient>(m_executor, endpointFrom(placement.address).value_or(asio::ip::tcp::endpoint()));
     }
     return client;
 }
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -63,7 +63,7 @@
         , m_options(applied(std::move(options)))
         , m_link(m_executor, {.self = text(m_options.link), .seeds = m_options.seeds})
         , m_detours({.self = text(m_options.link), .failureDomain = m_options.gateway.board.failureDomain})
-        , m_store(store, m_link, {.relaysTried = m_options.mechanisms.carriedCalls ? s_carriersTried : 0})
+        , m_store(store, m_link, relayedOptions())
         , m_registry(m_store, registryOptions())
         , m_ledger(m_executor,
                    {.holder = holder(), .incarnation = m_options.incarnation, .policy = m_options.holdings, .link = text(m_options.link)})
@@ -129,9 +129,6 @@
     static constexpr Duration s_poll = std::chrono::milliseconds(50);
     static constexpr Duration s_shortPoll = std::chrono::milliseconds(10);
 
-    /// Peers that are asked to carry one store call.
-    static constexpr std::size_t s_carriersTried = 3;
-
     /// The options without what the mechanisms leave out.
     static Options applied(Options options)
     {
@@ -160,6 +157,15 @@
         return absl::StrCat(address.address, ":", address.port);
     }
 
+    typename Relayed::Options relayedOptions() const
+    {
+        typename Relayed::Options options;
+        if (!m_options.mechanisms.carriedCalls) {
+            options.relaysTried = 0;
+        }
+        return options;
+    }
+
     std::string holder() const
     {
         return text(m_options.callers);
