--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -284,8 +284,11 @@
         }
         const auto version = static_cast<std::int64_t>(content->version);
         const bool newer = m_gateway.setPlan(std::make_shared<const RoutingPlan>(*std::move(content)));
-        logLine(Severity::Info, newer ? "plan.in_force" : "plan.ignored_as_older", {{"version", version}});
+        logLine(Severity::Info,
+                newer ? "plan.in_force" : "plan.ignored_as_older",
+                {{"version", version}, {"bytes", static_cast<std::int64_t>(row.value.size())}});
         if (newer) {
+            m_metrics.gauge("plan_version", {.name = "host", .value = m_options.callers.address}, version);
             m_help.announce(row.value);
         }
     }
--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -129,6 +129,9 @@
             if (answer.done()) {
                 answer.mutable_plan()->set_version(version);
                 answer.mutable_plan()->set_document(m_document);
+                logLine(Severity::Info,
+                        "plan.sent_to_peer",
+                        {{"version", static_cast<std::int64_t>(version)}, {"bytes", static_cast<std::int64_t>(m_document.size())}});
             }
             co_return answer;
         }
@@ -223,6 +226,11 @@
         const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(peer, std::move(call), m_options.peerTimeout);
         if (answer.ok() && answer->done()) {
             m_takeDocument(answer->plan().document());
+        } else {
+            const std::string detail = answer.ok() ? "the peer has no newer one" : toFailure(answer.status()).detail;
+            logLine(Severity::Warning,
+                    "plan.fetch_failed",
+                    {{"peer", peer}, {"newest_heard", static_cast<std::int64_t>(m_newestHeard)}, {"detail", detail}});
         }
     }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -161,7 +161,10 @@
     connection->stream.expires_after(options.timeout);
     const auto [readError, size] = co_await http::async_read(connection->stream, connection->buffer, parser, s_tuple);
     if (readError) {
-        co_return lost(readError, Ran::Unknown);
+        // How far the answer got tells a peer that says nothing from one whose answer is longer than its time.
+        co_return failed(FailureKind::TargetLost,
+                         absl::StrCat(readError.message(), " after ", parser.get().body().size(), " bytes of the answer"),
+                         Ran::Unknown);
     }
     HttpReply reply{.status = parser.get().result_int()};
     reply.contentType = std::string(parser.get()[http::field::content_type]);
--- a/src/store/tablewatcher.h
+++ b/src/store/tablewatcher.h
@@ -5,8 +5,10 @@
 #include "operations/log.h"
 #include "store/rowstore.h"
 
+#include <bit>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bamboohold {
@@ -59,8 +61,10 @@
         const std::string wholePart;
         const absl::StatusOr<RowsRead> read = co_await m_store.read(m_options.table, wholePart);
         if (!read.ok()) {
+            noteFailure("read", read.status());
             co_return false;
         }
+        m_failures = 0;
         if (read->version < m_version) {
             // An answer older than what was seen already would take back changes that are in force.
             co_return false;
@@ -77,6 +81,7 @@
     {
         const absl::StatusOr<RowsFeed> feed = co_await m_store.follow(m_options.table, m_version, m_options.longestWait);
         if (!feed.ok()) {
+            noteFailure("follow", feed.status());
             co_return false;
         }
         if (feed->historyGone) {
@@ -90,6 +95,21 @@
         co_return true;
     }
 
+    /// Says why calls fail: `store.lost` alone does not tell a store that is silent from an answer that never comes whole. Of a row of
+    /// failures the first, second, fourth, eighth and so on are logged, so that a long outage stays quiet.
+    void noteFailure(std::string_view call, const absl::Status &status)
+    {
+        ++m_failures;
+        if (std::has_single_bit(m_failures)) {
+            logLine(Severity::Warning,
+                    "store.call_failed",
+                    {{"table", m_options.table},
+                     {"call", std::string(call)},
+                     {"in_a_row", static_cast<std::int64_t>(m_failures)},
+                     {"detail", toFailure(status).detail}});
+        }
+    }
+
     void noteReachable(bool answered)
     {
         if (answered != m_reachable) {
@@ -104,6 +124,8 @@
     Store &m_store;
     Options m_options;
     std::uint64_t m_version = 0;
+    /// Calls that failed since the last whole read.
+    std::uint64_t m_failures = 0;
     bool m_synced = false;
     bool m_reachable = true;
 };
