A target's name has several lives; records that cannot be used name no target

Cause: the board, kept connections, ejections and what a target holds of prompts went by the key of its record alone, and a leaving mark stayed for ever; a target that started again under its name inherited all of it. A record that could not be read any more left the target in use when it came alone, and counted as vanished, so doubted and used, when the list was read in trouble; an unknown state counted as ready. Change: incarnation is name and stated start; a new one takes the old one's place and inherits nothing. TargetFollower, taken out of the daemon, orders rows by the store's version (a clock may be set back), has one decoder with a reason, logs each change of that state once and shows target_records_unusable. The decoder takes required fields of their type, known states, numeric addresses. Found by the property test: an unusable record did not count as newer than a late readable copy. Not done: requests in flight to a former life end by their connection's end or their time, as before.

--- a/src/gateway/callercodec.h
+++ b/src/gateway/callercodec.h
@@ -34,7 +34,7 @@
 
 /// What a router tells a target about one attempt.
 struct DispatchTerms {
-    /// The only process that may run it; addresses are used again.
+    /// Name of the only process that may run it; addresses are used again. It keeps the name when it starts again.
     std::string incarnation;
     std::string team;
     Duration timeLeft{};
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway.h"
 #include "gateway/mechanisms.h"
 #include "gateway/peerhelp.h"
+#include "gateway/targetfollower.h"
 #include "membership/routerregistry.h"
 #include "store/tablewatcher.h"
 
@@ -71,6 +72,8 @@
         , m_keeper(m_executor, m_store, m_ledger, {.routers = countedRouters()})
         , m_gateway(m_executor, gatewayOptions(), m_ledger, m_metrics)
         , m_help(m_link, m_store, m_ledger, m_gateway, documentTaker())
+        , m_targetFollower(
+              m_gateway.board(), m_detours, m_metrics, {.listingFrom = m_options.listingFrom, .host = m_options.callers.address})
         , m_plans(m_store, planWatch())
         , m_targets(m_store, targetWatch())
         , m_callers(pool, callerOptions(), callerHandler())
@@ -279,7 +282,9 @@
     {
         absl::StatusOr<RoutingPlan::Content> content = m_options.planFrom(row);
         if (!content.ok()) {
-            logLine(Severity::Error, "plan.unreadable", {{"detail", content.status().message().data()}});
+            // The store takes valid documents only; whatever spoilt this one, the version in force stays.
+            logLine(Severity::Error, "plan.unreadable", {{"detail", toFailure(content.status()).detail}});
+            m_metrics.count("plans_unreadable_total", {.name = "host", .value = m_options.callers.address});
             return;
         }
         const auto version = static_cast<std::int64_t>(content->version);
@@ -298,11 +303,13 @@
         return {.table = m_options.targetTable,
                 .onAll =
                     [this](const std::vector<StoredRow> &rows) {
-                        takeTargets(rows);
+                        m_targetsKnown = true;
+                        m_targetFollower.all(rows, steadyNow());
+                        m_gateway.targetsKnown();
                     },
                 .onChange =
                     [this](const StoredRow &row) {
-                        takeTarget(row);
+                        m_targetFollower.changed(row, steadyNow());
                     },
                 .onReachable =
                     [this](bool reachable) {
@@ -310,46 +317,6 @@
                     }};
     }
 
-    void takeTargets(const std::vector<StoredRow> &rows)
-    {
-        std::vector<TargetListing> listings;
-        for (const StoredRow &row : rows) {
-            absl::StatusOr<TargetListing> listing = m_options.listingFrom(row);
-            if (listing.ok()) {
-                m_detours.listed(listing->incarnation, listing->relay, listing->failureDomain);
-                listings.push_back(*std::move(listing));
-            } else {
-                logLine(Severity::Error, "target.unreadable", {{"row", row.address.key}, {"detail", listing.status().message().data()}});
-            }
-        }
-        m_targetsKnown = true;
-        m_gateway.board().setAll(std::move(listings), steadyNow());
-        m_gateway.targetsKnown();
-    }
-
-    void takeTarget(const StoredRow &row)
-    {
-        if (row.version == 0) {
-            logLine(Severity::Info, "target.unlisted", {{"target", row.address.key}});
-            m_gateway.board().unlisted(row.address.key, steadyNow());
-            m_detours.unlisted(row.address.key);
-            return;
-        }
-        absl::StatusOr<TargetListing> listing = m_options.listingFrom(row);
-        if (!listing.ok()) {
-            logLine(Severity::Error, "target.unreadable", {{"row", row.address.key}, {"detail", listing.status().message().data()}});
-            return;
-        }
-        logLine(Severity::Info,
-                "target.listed",
-                {{"target", listing->incarnation},
-                 {"service", listing->service},
-                 {"address", listing->address},
-                 {"leaving", static_cast<std::int64_t>(listing->leaving)}});
-        m_detours.listed(listing->incarnation, listing->relay, listing->failureDomain);
-        m_gateway.board().listed(*std::move(listing));
-    }
-
     asio::awaitable<void> expireTargets()
     {
         while (true) {
@@ -404,6 +371,7 @@
     LedgerKeeper<Relayed> m_keeper;
     Gateway m_gateway;
     PeerHelp<Store> m_help;
+    TargetFollower m_targetFollower;
     TableWatcher<Relayed> m_plans;
     TableWatcher<Relayed> m_targets;
     HttpServer m_callers;
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -258,7 +258,7 @@
 HttpCallOptions RequestRun::callOptions(const Placement &placement, Instant now) const
 {
     const HttpRequest &request = m_exchange.request();
-    DispatchTerms terms{.incarnation = placement.incarnation, .team = m_team, .timeLeft = m_deadline - now, .priority = m_priority};
+    DispatchTerms terms{.incarnation = placement.name, .team = m_team, .timeLeft = m_deadline - now, .priority = m_priority};
     if (m_streaming) {
         terms.resumeAfter = m_events.lastId();
     }
--- a/src/gateway/targetboard.cpp
+++ b/src/gateway/targetboard.cpp
@@ -3,6 +3,7 @@
 #include "routing/stablehash.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bamboohold {
 
@@ -23,41 +24,70 @@
 {
 }
 
-void TargetBoard::setAll(std::vector<TargetListing> listings, Instant now)
+void TargetBoard::setAll(std::vector<TargetListing> listings, Instant now, std::span<const std::string> unusableNames)
 {
-    std::map<std::string, bool> present;
+    std::set<std::string> present(unusableNames.begin(), unusableNames.end());
     for (TargetListing &listing : listings) {
-        present[listing.incarnation] = true;
+        present.insert(listing.name());
         listed(std::move(listing));
     }
+    for (const std::string &name : unusableNames) {
+        unusable(name);
+    }
     std::vector<std::string> missing;
-    for (const auto &[incarnation, target] : m_targets) {
-        if (!present.contains(incarnation)) {
-            missing.push_back(incarnation);
+    for (const auto &[name, incarnation] : m_incarnations) {
+        if (!present.contains(name)) {
+            missing.push_back(name);
         }
     }
-    for (const std::string &incarnation : missing) {
-        unlisted(incarnation, now);
+    for (const std::string &name : missing) {
+        unlisted(name, now);
     }
 }
 
+std::map<std::string, TargetBoard::Target>::iterator TargetBoard::named(const std::string &name)
+{
+    const auto incarnation = m_incarnations.find(name);
+    return incarnation == m_incarnations.end() ? m_targets.end() : m_targets.find(incarnation->second);
+}
+
+void TargetBoard::forget(std::map<std::string, Target>::iterator target)
+{
+    m_incarnations.erase(target->second.listing.name());
+    m_targets.erase(target);
+}
+
 void TargetBoard::listed(TargetListing listing)
 {
+    const auto before = named(listing.name());
+    if (before != m_targets.end() && before->second.listing.incarnation != listing.incarnation) {
+        forget(before);
+    }
+    m_incarnations[listing.name()] = listing.incarnation;
     Target &target = m_targets[listing.incarnation];
     // A target that has said that it leaves does not come back; an entry that says otherwise is older.
     listing.leaving = listing.leaving || target.listing.leaving;
     target.listing = std::move(listing);
+    target.usable = true;
     target.doubtedSince.reset();
 }
 
+void TargetBoard::unusable(const std::string &name)
+{
+    const auto found = named(name);
+    if (found != m_targets.end()) {
+        found->second.usable = false;
+    }
+}
+
 bool TargetBoard::storeTroubled(Instant now) const
 {
     return !m_storeReachable || (m_storeBackAt && now - *m_storeBackAt < m_options.listGrace);
 }
 
-void TargetBoard::unlisted(const std::string &incarnation, Instant now)
+void TargetBoard::unlisted(const std::string &name, Instant now)
 {
-    const auto found = m_targets.find(incarnation);
+    const auto found = named(name);
     if (found == m_targets.end()) {
         return;
     }
@@ -67,7 +97,7 @@
         }
         return;
     }
-    m_targets.erase(found);
+    forget(found);
 }
 
 void TargetBoard::storeReachable(bool reachable, Instant now)
@@ -83,14 +113,18 @@
     if (storeTroubled(now)) {
         return;
     }
-    std::erase_if(m_targets, [](const auto &entry) {
-        return entry.second.doubtedSince.has_value();
-    });
+    for (auto target = m_targets.begin(); target != m_targets.end();) {
+        const auto next = std::next(target);
+        if (target->second.doubtedSince) {
+            forget(target);
+        }
+        target = next;
+    }
 }
 
 bool TargetBoard::takesWork(const Target &target)
 {
-    return !target.listing.leaving;
+    return target.usable && !target.listing.leaving;
 }
 
 std::string TargetBoard::favourite(std::string_view service, std::span<const PromptPart> prompt) const
@@ -161,7 +195,8 @@
         const double value = rested ? target.failures : score(target, uncached, now);
         if (!best.placement || value < best.score) {
             best.score = value;
-            best.placement = Placement{.incarnation = incarnation, .address = target.listing.address, .uncached = uncached};
+            best.placement = Placement{
+                .incarnation = incarnation, .name = target.listing.name(), .address = target.listing.address, .uncached = uncached};
         }
     }
     return best;
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -32,6 +32,13 @@
     Duration warmup{};
     /// Where a relay to the store listens beside it, if one does; empty when none can.
     std::string relay;
+    /// The name that a process keeps when it starts again; empty when each life has a name of its own.
+    std::string identity;
+    /// What the process is called in the list, and by whoever sends to it.
+    const std::string &name() const
+    {
+        return identity.empty() ? incarnation : identity;
+    }
 };
 
 /// What a request needs of a target.
@@ -46,6 +53,8 @@
 /// Where a request goes.
 struct Placement {
     std::string incarnation;
+    /// The name that the process at the address must have to run the request.
+    std::string name;
     std::string address;
     /// Prompt tokens that the target probably has to read.
     Tokens uncached = 0;
@@ -104,14 +113,19 @@
 
     explicit TargetBoard(Options options);
 
-    /// Takes over the whole list.
-    void setAll(std::vector<TargetListing> listings, Instant now);
+    /// Takes over the whole list. `unusable` names the entries that are there and name no target to use.
+    void setAll(std::vector<TargetListing> listings, Instant now, std::span<const std::string> unusable = {});
 
-    /// An entry was added or changed.
+    /// An entry was added or changed. A new life under a name that is known takes the old one's place and inherits nothing: what the old
+    /// one had cached, was ejected for, had in progress or said of leaving is not the new one's.
     void listed(TargetListing listing);
 
-    /// An entry vanished.
-    void unlisted(const std::string &incarnation, Instant now);
+    /// The entry of that name vanished.
+    void unlisted(const std::string &name, Instant now);
+
+    /// The entry of that name has become one that cannot be used. The target gets no new work until a record can be used again; what it
+    /// works on goes on, since the record says nothing of that.
+    void unusable(const std::string &name);
 
     /// Whether the store answers. While it does not, and for the grace time afterwards, vanished entries are doubted.
     void storeReachable(bool reachable, Instant now);
@@ -149,6 +163,8 @@
 private:
     struct Target {
         TargetListing listing;
+        /// False while its record cannot be used.
+        bool usable = true;
         std::uint32_t outstanding = 0;
         /// Prompt tokens sent and not yet read.
         Tokens unread = 0;
@@ -169,6 +185,8 @@
     };
 
     static bool takesWork(const Target &target);
+    std::map<std::string, Target>::iterator named(const std::string &name);
+    void forget(std::map<std::string, Target>::iterator target);
     static bool resting(const Target &target, Instant now);
     Best bestOf(const PlacementWish &wish, bool rested, Instant now) const;
     void pauseBroken(Target &target, Instant now) const;
@@ -178,7 +196,10 @@
     bool storeTroubled(Instant now) const;
 
     Options m_options;
+    /// By incarnation.
     std::map<std::string, Target> m_targets;
+    /// The newest life under each name.
+    absl::flat_hash_map<std::string, std::string> m_incarnations;
     bool m_storeReachable = true;
     std::optional<Instant> m_storeBackAt;
 };
--- a/src/inventory/documentreader.cpp
+++ b/src/inventory/documentreader.cpp
@@ -105,6 +105,11 @@
     return value != nullptr && !value->is_null();
 }
 
+bool DocumentReader::contains(std::string_view field) const
+{
+    return find(field) != nullptr;
+}
+
 std::optional<DocumentReader> DocumentReader::object(std::string_view field)
 {
     const boost::json::value *value = find(field);
--- a/src/inventory/documentreader.h
+++ b/src/inventory/documentreader.h
@@ -40,6 +40,9 @@
     /// True when the field is there and not null.
     bool has(std::string_view field) const;
 
+    /// True when the field is there, whatever it holds.
+    bool contains(std::string_view field) const;
+
     /// A nested object with a reader of its own; none when it is absent.
     std::optional<DocumentReader> object(std::string_view field);
 
--- a/src/membership/detours.cpp
+++ b/src/membership/detours.cpp
@@ -26,7 +26,10 @@
         return;
     }
     Relay &known = m_relays[target];
-    known.address = relay;
+    if (known.address != relay) {
+        // Another host: what was learned of the one before does not hold for it.
+        known = {.address = relay};
+    }
     known.failureDomain = failureDomain;
 }
 
--- /dev/null
+++ b/src/tests/targetfollowertest.cpp
@@ -0,0 +1,190 @@
+#include "gateway/targetfollower.h"
+
+#include "failure/failure.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace bamboohold;
+
+namespace {
+
+constexpr Instant s_now{std::chrono::seconds(100)};
+
+/// A record of this test: BORN, with an 'l' behind it when the target leaves; anything else cannot be used.
+absl::StatusOr<TargetListing> readRecord(const StoredRow &row)
+{
+    const bool leaving = row.value.ends_with('l');
+    std::int64_t born = 0;
+    if (!absl::SimpleAtoi(row.value.substr(0, row.value.size() - (leaving ? 1 : 0)), &born)) {
+        return failed(FailureKind::InvalidDocument, absl::StrCat("no number: ", row.value));
+    }
+    return TargetListing{.incarnation = absl::StrCat(row.address.key, "@", born),
+                         .service = "llm",
+                         .address = "10.0.0.1:80",
+                         .leaving = leaving,
+                         .identity = row.address.key};
+}
+
+StoredRow record(std::string name, std::string value, std::uint64_t version)
+{
+    return {.address = {.table = "t", .part = "", .key = std::move(name)}, .value = std::move(value), .version = version};
+}
+
+struct Scene {
+    Scene()
+        : board({.failureDomain = "here"})
+        , detours({.self = "me"})
+        , follower(board, detours, metrics, {.listingFrom = readRecord, .host = "me"})
+    {
+    }
+
+    void changed(std::string name, std::string value, std::uint64_t version)
+    {
+        follower.changed(record(std::move(name), std::move(value), version), s_now);
+    }
+
+    /// Which life gets the next request; empty when none does.
+    std::string chosen() const
+    {
+        const auto placement = board.choose({.service = "llm"}, s_now);
+        return placement ? placement->incarnation : std::string();
+    }
+
+    TargetBoard board;
+    Detours detours;
+    Metrics metrics;
+    TargetFollower follower;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(TargetFollowerTest)
+
+// A target crashes and starts again under its name within one interval of its records. Requests were sent to it as if it still held their
+// prompts, and it rested for the failures of its former life.
+BOOST_AUTO_TEST_CASE(aNewLifeInheritsNothing)
+{
+    Scene scene;
+    scene.changed("a", "1000", 1);
+    const std::vector<PromptPart> prompt{{.id = 1, .tokens = 5000}, {.id = 2, .tokens = 100}};
+    scene.board.sent("a@1000", prompt, 5100, s_now);
+    scene.board.begun("a@1000", 5100, s_now);
+    scene.board.done("a@1000", TargetSign::Broken, s_now);
+    scene.changed("b", "1000", 2);
+    BOOST_TEST(scene.chosen() == "b@1000");
+    scene.changed("a", "2000", 3);
+    scene.board.sent("b@1000", prompt, 5100, s_now);
+    const auto placement = scene.board.choose({.service = "llm"}, s_now);
+    BOOST_REQUIRE(placement);
+    BOOST_TEST(placement->incarnation == "a@2000");
+    BOOST_TEST(placement->name == "a");
+    BOOST_TEST(!scene.board.lists("a@1000"));
+    // The former life's attempt ends late; it says nothing of the new one.
+    scene.board.done("a@1000", TargetSign::Broken, s_now);
+    scene.board.replaced("a@1000");
+    BOOST_TEST(scene.chosen() == "a@2000");
+}
+
+// A target says that it leaves, ends, and starts again under its name: the new life is ready. Then the new one leaves, and the record of
+// the ready one arrives late.
+BOOST_AUTO_TEST_CASE(leavingBelongsToOneLife)
+{
+    Scene scene;
+    scene.changed("a", "1000l", 1);
+    BOOST_TEST(scene.chosen().empty());
+    scene.changed("a", "2000", 2);
+    BOOST_TEST(scene.chosen() == "a@2000");
+    scene.changed("a", "2000l", 3);
+    scene.changed("a", "2000", 4);
+    BOOST_TEST(scene.chosen().empty());
+}
+
+// The clock of a target's host is set back before the target starts again: the newer record says which life is the newer one.
+BOOST_AUTO_TEST_CASE(recordsAreOrderedByTheStoreNotByClocks)
+{
+    Scene scene;
+    scene.changed("a", "2000", 5);
+    scene.changed("a", "1000", 6);
+    BOOST_TEST(scene.chosen() == "a@1000");
+    scene.changed("a", "2000", 5);
+    BOOST_TEST(scene.chosen() == "a@1000");
+}
+
+// Somebody else writes into the list. The record of a target that could be read before was kept in use, and a word that stands for no
+// known state was taken for readiness.
+BOOST_AUTO_TEST_CASE(aRecordThatCannotBeUsedNamesNoTarget)
+{
+    Scene scene;
+    scene.changed("a", "1000", 1);
+    scene.changed("b", "1000", 2);
+    scene.changed("a", "?", 3);
+    BOOST_TEST(scene.chosen() == "b@1000");
+    scene.follower.all(std::vector{record("a", "?", 3), record("b", "??", 4)}, s_now);
+    BOOST_TEST(scene.chosen().empty());
+    BOOST_TEST(scene.metrics.text().find("target_records_unusable{host=\"me\"} 2") != std::string::npos);
+    scene.changed("a", "1000", 5);
+    BOOST_TEST(scene.chosen() == "a@1000");
+}
+
+// The same while the store is in trouble, when entries that vanished are doubted and stay in use.
+BOOST_AUTO_TEST_CASE(anUnusableRecordIsNotDoubted)
+{
+    Scene scene;
+    scene.changed("a", "1000", 1);
+    scene.board.storeReachable(false, s_now);
+    scene.follower.all(std::vector{record("a", "?", 2)}, s_now);
+    BOOST_TEST(scene.chosen().empty());
+}
+
+// Records in any order, answers of any life at any time: the board sends only to the life of the newest record, and only if that one is
+// usable and does not leave.
+BOOST_AUTO_TEST_CASE(onlyTheNewestRecordCounts)
+{
+    const bool holds = rc::check("the newest record counts", [] {
+        Scene scene;
+        // Version 0 would be a removal.
+        std::uint64_t newest = 1;
+        bool any = false;
+        std::string expected;
+        std::string born;
+        bool left = false;
+        const int steps = *rc::gen::inRange(1, 40);
+        for (int step = 0; step < steps; ++step) {
+            const int kind = *rc::gen::inRange(0, 6);
+            const std::string life = absl::StrCat("a@", *rc::gen::inRange(1, 4));
+            if (kind == 0) {
+                scene.board.done(life, TargetSign::Sound, s_now);
+            } else if (kind == 1) {
+                scene.board.sent(life, {}, 0, s_now);
+            } else {
+                const std::uint64_t version = newest + static_cast<std::uint64_t>(*rc::gen::inRange(0, 3));
+                const bool spoilt = kind == 2;
+                const bool leaving = kind == 3;
+                const std::string next = life.substr(2);
+                if (version <= newest && any && !spoilt) {
+                    // A late copy of an older record.
+                    scene.changed("a", next, newest - 1);
+                    RC_ASSERT(scene.chosen() == expected);
+                    continue;
+                }
+                newest = version + 1;
+                any = true;
+                scene.changed("a", spoilt ? "?" : next + (leaving ? "l" : ""), newest);
+                if (!spoilt) {
+                    left = leaving || (left && next == born);
+                    born = next;
+                }
+                expected = spoilt || left ? std::string() : life;
+            }
+            RC_ASSERT(scene.chosen() == expected);
+        }
+    });
+    BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
