--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,6 +64,10 @@
 
 void Gateway::prune()
 {
+    const Instant now = steadyNow();
+    for (RequestRun *run : m_runs) {
+        run->leaveFormerLife(now);
+    }
     std::erase_if(m_clients, [this](const auto &entry) {
         return !m_board.lists(entry.first);
     });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,10 +15,13 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace bamboohold {
 
+class RequestRun;
+
 /// Serves callers straight from the targets: finds route and team, reserves tokens, chooses a target, passes the answer on, settles. Lives
 /// on one event loop.
 class Gateway
@@ -55,7 +58,7 @@
     /// Requests under way.
     std::size_t inFlight() const
     {
-        return m_inFlight;
+        return m_runs.size();
     }
 
     /// Streams under way: what a process that ends has to wait for.
@@ -82,7 +85,7 @@
         return m_board;
     }
 
-    /// Lets the connections to targets that are gone go. Call now and then.
+    /// Lets the connections to targets that are gone go, and ends attempts at former lives of targets. Call now and then.
     void prune();
 
 private:
@@ -112,7 +115,7 @@
     /// By incarnation.
     std::map<std::string, std::shared_ptr<HttpClient>> m_clients;
     std::mt19937_64 m_random;
-    std::size_t m_inFlight = 0;
+    std::set<RequestRun *> m_runs;
     std::size_t m_streamsInFlight = 0;
     std::optional<Instant> m_end;
 };
--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -277,15 +277,15 @@
         const Instant begun = steadyNow();
         const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(ask.peer, std::move(call), m_piecePatience.current());
         const Instant now = steadyNow();
-        if (!answer.ok() || !answer->done()) {
-            m_seeker.failed(ask.peer, now);
-            const std::string detail = answer.ok() ? "the peer has no newer one" : toFailure(answer.status()).detail;
+        if (!answer.ok()) {
+            m_piecePatience.missed();
             logLine(Severity::Warning,
                     "plan.fetch_failed",
-                    {{"peer", ask.peer}, {"offset", static_cast<std::int64_t>(ask.offset)}, {"detail", detail}});
-            if (!answer.ok()) {
-                m_piecePatience.missed();
-            }
+                    {{"peer", ask.peer}, {"offset", static_cast<std::int64_t>(ask.offset)}, {"detail", toFailure(answer.status()).detail}});
+        }
+        if (!answer.ok() || !answer->done()) {
+            // A peer that has none is no failure: all routers may have started together.
+            m_seeker.failed(ask.peer, now);
             co_return;
         }
         m_piecePatience.answered(now - begun);
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -23,6 +23,10 @@
 constexpr Duration s_longestSilence = std::chrono::milliseconds(1200);
 /// A stream that can only go on where it is is given up after this: no caller waits longer for the next event.
 constexpr Duration s_deadSilence = std::chrono::milliseconds(4000);
+/// A target that has started again since it was sent a request knows nothing of it. Where its host lost power or is cut off, no reset says
+/// so, and the caller would wait half of its time or more for nothing. What still comes from a former life is passed on; after this
+/// silence, as long as the pause that callers expect of a stream at most, the request goes elsewhere.
+constexpr Duration s_formerLifeSilence = std::chrono::milliseconds(400);
 /// An answer up to this size is held until it is whole, so that a broken one can be replaced; longer ones would delay their callers.
 constexpr std::size_t s_heldBytes = 256 * 1024;
 /// Events that a target may have made, unseen, before it noticed that its answer was no longer wanted: half a second's worth at the fastest
@@ -66,12 +70,12 @@
     , m_plan(std::move(plan))
     , m_arrived(arrived)
 {
-    ++m_gateway.m_inFlight;
+    m_gateway.m_runs.insert(this);
 }
 
 RequestRun::~RequestRun()
 {
-    --m_gateway.m_inFlight;
+    m_gateway.m_runs.erase(this);
     m_gateway.m_streamsInFlight -= m_countedStream ? 1 : 0;
 }
 
@@ -189,6 +193,7 @@
         m_placement = placement;
         m_attemptAt = now;
         m_attemptBegun = false;
+        m_lastHeard = now;
         m_sign = TargetSign::Neutral;
         m_gateway.m_board.sent(placement->incarnation, m_terms.prompt, placement->uncached, now);
         end = co_await attempt(*placement);
@@ -197,8 +202,17 @@
     co_return end;
 }
 
+void RequestRun::leaveFormerLife(Instant now)
+{
+    const bool waits = m_call != nullptr && m_route->repeatable() && now - m_lastHeard >= s_formerLifeSilence;
+    if (waits && m_gateway.m_board.reborn(m_placement->name, m_placement->incarnation)) {
+        m_call->cancel();
+    }
+}
+
 void RequestRun::noteFirstByte()
 {
+    m_lastHeard = steadyNow();
     if (!m_attemptBegun) {
         m_attemptBegun = true;
         m_gateway.m_board.begun(m_placement->incarnation, m_placement->uncached, m_attemptAt);
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -27,6 +27,10 @@
     /// Serves the request to its end.
     asio::awaitable<void> serve();
 
+    /// Ends an attempt that waits in silence for a target which has started again since; a request that may not run twice is left to its
+    /// time, as its answer may be on the way. Call now and then.
+    void leaveFormerLife(Instant now);
+
 private:
     /// How one attempt ended.
     enum class AttemptEnd {
@@ -105,6 +109,8 @@
     std::optional<Placement> m_placement;
     Instant m_attemptAt{};
     bool m_attemptBegun = false;
+    /// When the running attempt was sent, or the last bytes of it came.
+    Instant m_lastHeard{};
     /// What the last attempt tells of its target.
     TargetSign m_sign = TargetSign::Neutral;
     std::optional<Instant> m_firstByte;
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -160,6 +160,13 @@
         return m_targets.contains(incarnation);
     }
 
+    /// True when the target of that name has started again since this life of it.
+    bool reborn(const std::string &name, const std::string &incarnation) const
+    {
+        const auto newest = m_incarnations.find(name);
+        return newest != m_incarnations.end() && newest->second != incarnation;
+    }
+
 private:
     struct Target {
         TargetListing listing;
