--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -301,6 +301,8 @@
         }
     }
 
+    /// Between two looks at whether the store has brought what is sought: often enough that no piece is asked for in vain, and never a
+    /// busy loop.
     static constexpr Duration s_shortestStep = std::chrono::milliseconds(5);
     static constexpr Duration s_longestStep = std::chrono::milliseconds(100);
 
