Few routers keep a budget, however large it is; loans go back to their lender; calls to the store are counted by cause

Cause: every router kept a part of every large budget.

Ruled out by reckoning: shards of several teams in one part, with few keepers that read each other's rows, would read 560 KB a time at 40,000 budgets; a single owner of each shard needs no reads at all and is the next step for that size, not built.

Change: five keepers at the most. What a borrower gives back is the lender's own again at once instead of by way of the pool. Rows of ample budgets are read and written every 3 s, checkpoints of ample budgets every second. Metrics count calls and bytes by table and kind.

--- a/src/budget/holdingpolicy.h
+++ b/src/budget/holdingpolicy.h
@@ -32,6 +32,9 @@
     Duration refreshInterval = std::chrono::seconds(3);
     /// What others hold and demand is read this often while there is any demand here.
     Duration readInterval = std::chrono::milliseconds(900);
+    /// While the budget is ample (`ampleSpan`), nothing hinges on what others know, and rows are read and written only this often; sooner
+    /// than others take the holder for dead.
+    Duration ampleInterval = std::chrono::seconds(3);
     /// A request that cannot be reserved makes the holding read and flush at once, but no more often than this.
     Duration urgentInterval = std::chrono::milliseconds(50);
     /// A holder whose row is older takes part in nothing that is shared out now: it is dead, or cut off with what it has.
--- a/src/budget/keepers.cpp
+++ b/src/budget/keepers.cpp
@@ -18,7 +18,7 @@
     std::ranges::sort(ranked, std::greater{});
     const double bound = usualBound > 0 ? usualBound : s_usualBoundAtFirst;
     const auto worth = static_cast<std::size_t>(static_cast<double>(std::max<Tokens>(0, prepaid)) / (s_requestsPerKeeper * bound));
-    ranked.resize(std::min(ranked.size(), std::max(s_fewestKeepers, worth)));
+    ranked.resize(std::min(ranked.size(), std::clamp(worth, s_fewestKeepers, s_mostKeepers)));
     std::vector<std::string> keepers;
     keepers.reserve(ranked.size());
     for (auto &[weight, router] : ranked) {
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -181,6 +181,7 @@
     const Tokens keep = useless ? 0 : static_cast<Tokens>(demand(now) * seconds(m_options.policy.lendKeep));
     const Tokens lent = std::clamp<Tokens>(free - keep, 0, std::max<Tokens>(0, asked));
     m_settled += lent;
+    m_lent += lent;
     return lent;
 }
 
@@ -189,6 +190,14 @@
     m_borrowed += tokens;
 }
 
+void TeamHolding::takeBack(Tokens tokens)
+{
+    const Tokens own = std::min(tokens, m_lent);
+    m_lent -= own;
+    m_settled -= own;
+    m_borrowed += tokens - own;
+}
+
 Tokens TeamHolding::loanWanted(Instant now) const
 {
     const Duration ahead = m_keeps ? m_options.policy.borrowAhead : Duration::zero();
@@ -200,6 +209,7 @@
     if (!reservation.borrowed) {
         m_reserved -= reservation.bound;
         m_settled += reservation.bound;
+        m_lent += reservation.bound;
     }
 }
 
@@ -226,7 +236,8 @@
     }
     const Duration age = now - *m_lastRead;
     const bool urgent = m_shortSinceRead && age >= m_options.policy.urgentInterval;
-    return urgent || (m_askedSinceRead && age >= m_options.policy.readInterval);
+    const Duration interval = ample(now) ? m_options.policy.ampleInterval : m_options.policy.readInterval;
+    return urgent || (m_askedSinceRead && age >= interval);
 }
 
 void TeamHolding::noteStoreTime(StoreTimeMs time, Instant now)
@@ -403,7 +414,7 @@
         // Nothing that anyone would want to know.
         return std::nullopt;
     }
-    return last + (changed ? policy.flushInterval : policy.refreshInterval);
+    return last + (changed && !ample(now) ? policy.flushInterval : policy.refreshInterval);
 }
 
 HolderRow TeamHolding::rowAfter(Tokens change, Instant now) const
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -100,6 +100,10 @@
     /// Takes what a peer gave.
     void borrow(Tokens tokens);
 
+    /// A peer gives back what it did not need. What this router lent before is its own again at once; with a detour by the pool, a budget's
+    /// last tokens would be on the way there, for a second or two each time, instead of at hand. What goes beyond that counts as borrowed.
+    void takeBack(Tokens tokens);
+
     /// Hands over what was borrowed and has not been of use for a while; 0 when there is nothing, or this router keeps a part itself.
     Tokens takeIdleLoan(Instant now);
 
@@ -131,6 +135,12 @@
     /// that takes longer than `horizon`.
     std::optional<Duration> timeUntilPaced(Tokens bound, Instant now, Duration horizon) const;
 
+    /// Whether the whole budget covers the demand of all routers for long (`HoldingPolicy::ampleSpan`).
+    bool ample(Instant now) const
+    {
+        return ample(demand(now));
+    }
+
     /// True when this holding's row is this process's own, or there is none: nothing of an earlier process is left to recover.
     bool recovered() const
     {
@@ -273,6 +283,8 @@
     Tokens m_settled = 0;
     Tokens m_reserved = 0;
     Tokens m_borrowed = 0;
+    /// Lent and not given back: a part of what is settled.
+    Tokens m_lent = 0;
     /// Decaying sums of what requests reserved and what they used of it.
     double m_boundSum = 0;
     double m_usedSum = 0;
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -204,10 +204,22 @@
     if (m_waiters > 0) {
         return *m_lastCheckpoint + m_options.groupInterval;
     }
-    const bool holds = std::ranges::any_of(m_entries, [](const auto &account) {
-        return account.second->holding.granted() > account.second->holding.committed();
-    });
-    return *m_lastCheckpoint + (holds ? m_options.checkpointInterval : m_options.idleInterval);
+    return *m_lastCheckpoint + checkpointInterval(now);
+}
+
+Duration TeamLedger::checkpointInterval(Instant now) const
+{
+    Duration interval = m_options.idleInterval;
+    for (const auto &[team, account] : m_entries) {
+        if (account->holding.unused() == 0) {
+            continue;
+        }
+        if (!account->holding.ample(now)) {
+            return m_options.checkpointInterval;
+        }
+        interval = m_options.ampleInterval;
+    }
+    return interval;
 }
 
 std::optional<RowTransaction> TeamLedger::planCheckpoint(Instant now)
@@ -302,7 +314,7 @@
 void TeamLedger::takeGift(const std::string &team, Tokens tokens)
 {
     Entry &account = entry(team);
-    account.holding.borrow(tokens);
+    account.holding.takeBack(tokens);
     account.answered.notify();
 }
 
--- a/src/budget/teamledger.h
+++ b/src/budget/teamledger.h
@@ -45,6 +45,8 @@
         /// A checkpoint that nobody waits for is written this often while anything is held: what a dead router could have committed since
         /// its last one is lost.
         Duration checkpointInterval = std::chrono::milliseconds(250);
+        /// This often while all that is held is of ample budgets: their promises cover 2.5 s of demand.
+        Duration ampleInterval = std::chrono::seconds(1);
         /// And this often while nothing is held.
         Duration idleInterval = std::chrono::seconds(3);
         /// A caller is told when its request's tokens may be committed, if that is no longer off than this.
@@ -178,6 +180,7 @@
     boost::asio::awaitable<std::variant<Reservation, HoldingRefusal>> waitFor(Entry &account, std::string team, Wish wish);
     boost::asio::awaitable<void> borrow(Entry &account, std::string team);
     void noteServing(Instant now);
+    Duration checkpointInterval(Instant now) const;
 
     boost::asio::any_io_executor m_executor;
     Options m_options;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -11,6 +11,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <array>
 #include <functional>
 #include <string>
 #include <vector>
@@ -124,6 +125,15 @@
         }
     }
 
+    /// Counts a call to the store by what it was for: calls that grow with routers times teams are seen here first.
+    void noteStoreCall(const StoreCall &call)
+    {
+        const std::array<MetricLabel, 2> labels{{{.name = "table", .value = call.table}, {.name = "call", .value = storeCallName(call.kind)}}};
+        m_metrics.count("store_calls_total", labels);
+        m_metrics.count("store_sent_bytes_total", labels, static_cast<std::int64_t>(call.sentBytes));
+        m_metrics.count("store_received_bytes_total", labels, static_cast<std::int64_t>(call.receivedBytes));
+    }
+
 private:
     /// A balancer that asks once a second takes a host out after two misses; until then connections still arrive and are served.
     static constexpr Duration s_rotationTime = std::chrono::milliseconds(2600);
--- a/src/store/rowstore.cpp
+++ b/src/store/rowstore.cpp
@@ -4,6 +4,19 @@
 
 namespace bamboohold {
 
+std::string_view storeCallName(StoreCall::Kind kind)
+{
+    switch (kind) {
+    case StoreCall::Kind::Read:
+        return "read";
+    case StoreCall::Kind::Write:
+        return "write";
+    case StoreCall::Kind::Follow:
+        return "follow";
+    }
+    return "unknown";
+}
+
 std::vector<bool> supersededLargeRows(std::span<const StoredRow> changes, std::size_t leastBytes)
 {
     std::vector<bool> superseded(changes.size(), false);
--- a/src/store/rowstore.h
+++ b/src/store/rowstore.h
@@ -89,6 +89,23 @@
     bool longerThanTable = false;
 };
 
+/// One call to the store as it went over the network, whatever came of it.
+struct StoreCall {
+    enum class Kind {
+        Read,
+        Write,
+        Follow,
+    };
+    Kind kind = Kind::Read;
+    /// The table that it was made for.
+    std::string_view table;
+    /// Bodies, in bytes; the answer's is 0 when none came.
+    std::size_t sentBytes = 0;
+    std::size_t receivedBytes = 0;
+};
+
+std::string_view storeCallName(StoreCall::Kind kind);
+
 /// Which of the changes, in order, are at least this many bytes large and followed by a newer state of the same row.
 std::vector<bool> supersededLargeRows(std::span<const StoredRow> changes, std::size_t leastBytes);
 
