--- a/scripts/measurebudgets.py
+++ b/scripts/measurebudgets.py
@@ -17,6 +17,20 @@
     return subprocess.run([str(fleetlib.BUILD / "bamboohold-measure-budgets")], check=False).returncode
 
 
+HOLDING_SIZES = [(routers, budgets) for routers in (20, 103, 330) for budgets in (40, 1000)]
+
+
+def holdings(target):
+    """What the books of routers without sidecars cost in calls to the store, by size; `target` adds the largest one."""
+    program = str(fleetlib.BUILD / "bamboohold-measure-holdings")
+    for routers, budgets in HOLDING_SIZES:
+        subprocess.run([program, f"--routers={routers}", f"--budgets={budgets}"], check=True)
+    subprocess.run([program, "--routers=103", "--budgets=40", "--all_keep"], check=True)
+    if target:
+        subprocess.run([program, "--routers=330", "--budgets=40000", "--requests_per_router=23.3", "--seconds=4"], check=True)
+    return 0
+
+
 def calm(trial):
     time.sleep(6)
 
--- a/src/gateway/loadshedder.cpp
+++ b/src/gateway/loadshedder.cpp
@@ -12,6 +12,7 @@
 constexpr double s_newestWeight = 0.25;
 /// Growth for a long delay is bounded: the delay is that of requests let in before.
 constexpr double s_mostMultiples = 4;
+/// Measurements that a late one stands for at most: with its weight, the mean is then the newest delay.
 constexpr double s_mostTicks = 4;
 /// Shares below this are none.
 constexpr double s_leastShare = 0.01;
--- a/src/routing/loadserver.h
+++ b/src/routing/loadserver.h
@@ -13,6 +13,9 @@
 
 /// Answers routers' questions about the load of the target on this host. Datagrams: an answer that comes late is worth nothing, and 180
 /// connections a router would take more memory than all else that it keeps of targets.
+///
+/// Whoever reaches the port can report loads, as whoever reaches the relay's can use it. False ones cost time only: they choose among
+/// targets, and a target admits or declines by itself.
 class LoadServer
 {
 public:
