--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -199,8 +199,11 @@
         const PlacementWish wish{
             .service = m_serviceName, .prompt = m_terms.prompt, .except = m_tried, .draw = stableHash(m_terms.requestId) + m_tried.size()};
         const std::optional<Placement> placement = co_await m_gateway.place(wish);
-        if (m_callerLeft || !placement) {
-            co_return m_callerLeft &&m_ran > 0 ? AttemptEnd::CallerLeft : end;
+        if (m_callerLeft) {
+            co_return m_ran == 0 ? AttemptEnd::NotRun : AttemptEnd::CallerLeft;
+        }
+        if (!placement) {
+            co_return end;
         }
         const Instant now = steadyNow();
         m_tried.push_back(placement->incarnation);
--- a/src/measure/holdings.cpp
+++ b/src/measure/holdings.cpp
@@ -145,7 +145,7 @@
         if (own != order.end()) {
             std::iter_swap(order.begin(), own);
         } else {
-            std::ranges::rotate(order, order.begin() + router % static_cast<int>(order.size()));
+            std::rotate(order.begin(), order.begin() + router % static_cast<int>(order.size()), order.end());
             ++m_counts.loans;
         }
         for (const int lender : order) {
@@ -180,13 +180,13 @@
 
     void settleDue()
     {
-        const auto over = std::ranges::partition(m_running, [this](const Running &running) {
+        const auto over = std::partition(m_running.begin(), m_running.end(), [this](const Running &running) {
             return running.end > m_now;
         });
-        for (const Running &running : over) {
-            m_routers[running.lender]->holdings[running.budget]->settle(running.reservation, s_used, m_now);
+        for (auto running = over; running != m_running.end(); ++running) {
+            m_routers[running->lender]->holdings[running->budget]->settle(running->reservation, s_used, m_now);
         }
-        m_running.erase(over.begin(), over.end());
+        m_running.erase(over, m_running.end());
     }
 
     void keep(Router &router)
