Requests of a used-up budget are told so, all that wait together

Cause: a borrower asks for the sum of all that waits at it. When its lenders had nothing and called the budget used up, it compared each request with that sum, and refused smaller ones as out of reach, to come back in 0.5 s.

Ruled out: tokens lost at deaths (refusals begin before). The test fails without the change (two of three requests told BudgetUnreachable).

The kind of a refusal and its time to come back change, nothing that is promised or spent.

--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -267,7 +267,10 @@
         account.borrowAgainAt = steadyNow() + m_options.borrowPause;
     }
     if (loan.exhausted) {
-        account.uncovered = wanted - loan.tokens;
+        // What was wanted is the sum of all that waits. Lenders give what they have of it: after nothing at all there is nothing for a
+        // smaller request either. Told apart by the sum, those of a used-up budget were refused as out of reach, to come back in 0.5 s:
+        // 5,454 of one team on a day of 103 routers, each of which came back in vain.
+        account.uncovered = loan.tokens == 0 ? 1 : wanted - loan.tokens;
         account.uncoveredUntil = steadyNow() + m_options.borrowPause;
     }
     if (loan.tokens < wanted) {
--- a/src/tests/teamledgertest.cpp
+++ b/src/tests/teamledgertest.cpp
@@ -175,6 +175,27 @@
     BOOST_TEST(scene.askedOf.empty());
 }
 
+// A budget is used up, and several requests of its team wait at a router that keeps no part of it. The lenders have nothing of what all of
+// them need together. Each caller is told that the budget is used up; told that it is out of reach for the moment, they came back in vain.
+BOOST_AUTO_TEST_CASE(allWhoWaitForAUsedUpBudgetAreToldSo)
+{
+    Scene scene(routersWithoutThis());
+    scene.store.answers = false;
+    std::vector<absl::StatusOr<Reservation>> results;
+    for (const Tokens bound : {5000, 800, 2000}) {
+        asio::co_spawn(scene.loop, scene.ledger.reserve("team", bound), [&](const std::exception_ptr &, absl::StatusOr<Reservation> made) {
+            results.push_back(std::move(made));
+        });
+    }
+    scene.runUntil([&] {
+        return results.size() == 3;
+    });
+    for (const absl::StatusOr<Reservation> &result : results) {
+        BOOST_REQUIRE(!result.ok());
+        BOOST_TEST((toFailure(result.status()).kind == FailureKind::BudgetExhausted));
+    }
+}
+
 // A keeper lends to a peer as it serves its own callers: the loan waits for the checkpoint that covers it, and counts as spent.
 BOOST_AUTO_TEST_CASE(aLoanIsCoveredByACheckpoint)
 {
