--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -275,7 +275,7 @@
         begin(std::move(first));
         // The loop comes back here once for all that is ready in it. While it is busy that takes tens of milliseconds, and with one
         // connection a time a caller waited for seconds in the kernel's queue, unseen by anything that measures the loop: on a host with a
-        // tenth of a core and 235 requests a second a third of the callers left before their request was read.
+        // tenth of a core 3,591 callers left before their request was read, in 34 seconds.
         for (int more = 0; more < s_acceptedTogether; ++more) {
             asio::ip::tcp::socket next(acceptor.get_executor());
             acceptor.accept(next, error);
