Sight: logs say which request came again, whatever its id

What callers saw: as before; engines end under a request that comes again. Cause of the blindness: logs name ids only, which differ at each arrival, and neither path nor body. Ruled out: logging path and body (callers' own data, and up to megabytes). Change: RequestFingerprint, a digest of team, method, host, path with query and body; logged with ended attempts and requests. No decision uses it yet.

--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -250,6 +250,7 @@
         logLine(Severity::Info,
                 "attempt.ended",
                 {{"request", m_terms.requestId},
+                 {"fingerprint", fingerprint().text()},
                  {"target", m_placement->incarnation},
                  {"may_have_run", static_cast<std::int64_t>(end != AttemptEnd::NotRun)},
                  {"problem", m_lastProblem},
@@ -524,7 +525,20 @@
     co_await m_exchange.respond(refusal.status, "application/json", std::move(body), std::move(refusal.headers));
 }
 
-void RequestRun::logEnd(std::string_view outcome, std::string_view detail) const
+const RequestFingerprint &RequestRun::fingerprint()
+{
+    if (!m_fingerprint) {
+        const HttpRequest &request = m_exchange.request();
+        m_fingerprint = RequestFingerprint::of({.team = m_team,
+                                                .method = request.method_string(),
+                                                .host = m_exchange.header("Host"),
+                                                .target = request.target(),
+                                                .body = request.body()});
+    }
+    return *m_fingerprint;
+}
+
+void RequestRun::logEnd(std::string_view outcome, std::string_view detail)
 {
     const Instant now = steadyNow();
     const std::string route = m_route != nullptr ? m_route->name : std::string();
@@ -543,6 +557,7 @@
     logLine(Severity::Info,
             "request.ended",
             {{"request", m_terms.requestId},
+             {"fingerprint", fingerprint().text()},
              {"outcome", outcome},
              {"detail", detail},
              {"route", route},
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -2,6 +2,7 @@
 
 #include "gateway/eventstream.h"
 #include "gateway/gateway.h"
+#include "quarantine/requestfingerprint.h"
 
 #include <memory>
 #include <optional>
@@ -75,7 +76,10 @@
     void noteAttemptEnd(AttemptEnd end);
     void noteFirstByte();
     void settle(AttemptEnd end);
-    void logEnd(std::string_view outcome, std::string_view detail) const;
+    void logEnd(std::string_view outcome, std::string_view detail);
+    /// What tells this request from others that come again. Made when it is first needed: a digest of a long body takes a small host
+    /// milliseconds.
+    const RequestFingerprint &fingerprint();
 
     Gateway &m_gateway;
     HttpExchange &m_exchange;
@@ -89,6 +93,7 @@
     int m_priority = 0;
     Instant m_deadline{};
     std::optional<Reservation> m_reservation;
+    std::optional<RequestFingerprint> m_fingerprint;
 
     std::vector<std::string> m_tried;
     /// Attempts whose target may have run the request.
--- /dev/null
+++ b/src/quarantine/requestfingerprint.cpp
@@ -0,0 +1,63 @@
+#include "quarantine/requestfingerprint.h"
+
+#include <absl/strings/escaping.h>
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace bamboohold {
+
+namespace {
+
+/// Adds a field behind its length, so that no two different lists of fields read the same.
+void addField(EVP_MD_CTX *context, std::string_view field)
+{
+    const std::uint64_t size = field.size();
+    EVP_DigestUpdate(context, &size, sizeof size);
+    EVP_DigestUpdate(context, field.data(), field.size());
+}
+
+}
+
+RequestFingerprint RequestFingerprint::of(const FingerprintSource &source)
+{
+    const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    for (const std::string_view field : {source.team, source.method, source.host, source.target, source.body}) {
+        addField(context.get(), field);
+    }
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    RequestFingerprint fingerprint;
+    std::copy_n(digest.begin(), s_size, fingerprint.m_bytes.begin());
+    return fingerprint;
+}
+
+std::optional<RequestFingerprint> RequestFingerprint::fromBytes(std::string_view bytes)
+{
+    if (bytes.size() != s_size) {
+        return std::nullopt;
+    }
+    RequestFingerprint fingerprint;
+    std::ranges::copy(bytes, fingerprint.m_bytes.begin());
+    return fingerprint;
+}
+
+std::optional<RequestFingerprint> RequestFingerprint::fromText(std::string_view text)
+{
+    const bool hexadecimal = std::ranges::all_of(text, [](char letter) {
+        return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'f');
+    });
+    if (!hexadecimal || text.size() != 2 * s_size) {
+        return std::nullopt;
+    }
+    return fromBytes(absl::HexStringToBytes({text.data(), text.size()}));
+}
+
+std::string RequestFingerprint::text() const
+{
+    return absl::BytesToHexString({m_bytes.data(), m_bytes.size()});
+}
+
+}
--- /dev/null
+++ b/src/tests/requestfingerprinttest.cpp
@@ -0,0 +1,45 @@
+#include "quarantine/requestfingerprint.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace bamboohold;
+
+BOOST_AUTO_TEST_SUITE(RequestFingerprintTest)
+
+BOOST_AUTO_TEST_CASE(tellsWhoAsksAndWhat)
+{
+    const FingerprintSource source{
+        .team = "team", .method = "POST", .host = "app.example", .target = "/drafts/9?page=2", .body = "Is block 9 free?"};
+    std::vector<FingerprintSource> others(5, source);
+    others[0].team = "other";
+    others[1].method = "PUT";
+    others[2].host = "app2.example";
+    others[3].target = "/drafts/9?page=3";
+    others[4].body = "Is block 8 free?";
+    BOOST_TEST((RequestFingerprint::of(source) == RequestFingerprint::of(source)));
+    for (const FingerprintSource &other : others) {
+        BOOST_TEST((RequestFingerprint::of(source) != RequestFingerprint::of(other)));
+    }
+}
+
+// A team could otherwise move letters from one field to the next until its request had the fingerprint of another one.
+BOOST_AUTO_TEST_CASE(fieldsDoNotRunTogether)
+{
+    BOOST_TEST((RequestFingerprint::of({.team = "ab", .method = "c"}) != RequestFingerprint::of({.team = "a", .method = "bc"})));
+}
+
+BOOST_AUTO_TEST_CASE(textIsReadBack)
+{
+    const RequestFingerprint fingerprint = RequestFingerprint::of({.team = "team"});
+    BOOST_TEST((RequestFingerprint::fromText(fingerprint.text()) == fingerprint));
+    BOOST_TEST((RequestFingerprint::fromBytes(fingerprint.bytes()) == fingerprint));
+    for (const std::string &spoilt :
+         {std::string(), std::string("12"), std::string(32, 'g'), std::string(32, 'A'), fingerprint.text() + "00", std::string(16, '\0')}) {
+        BOOST_TEST(!RequestFingerprint::fromText(spoilt).has_value());
+    }
+    BOOST_TEST(!RequestFingerprint::fromBytes("short").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
