A scripted peer's connections may outlive it

Cause: the loop destroys coroutines of connections after the peer itself; their clean-up used the peer's member. Change: the set is shared with the coroutines.

--- a/src/tests/scriptedpeer.cpp
+++ b/src/tests/scriptedpeer.cpp
@@ -57,7 +57,7 @@
 {
     m_crashed = true;
     m_acceptor.close();
-    for (asio::ip::tcp::socket *socket : m_sockets) {
+    for (asio::ip::tcp::socket *socket : *m_sockets) {
         socket->close();
     }
 }
@@ -78,9 +78,9 @@
 {
     std::string bytes;
     std::array<char, 4096> buffer{};
-    m_sockets.insert(&socket);
-    const absl::Cleanup leave = [this, &socket] {
-        m_sockets.erase(&socket);
+    m_sockets->insert(&socket);
+    const absl::Cleanup leave = [sockets = m_sockets, &socket] {
+        sockets->erase(&socket);
     };
     while (true) {
         while (requestSize(bytes) == 0) {
--- a/src/tests/scriptedpeer.h
+++ b/src/tests/scriptedpeer.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -81,8 +82,8 @@
     std::string m_address;
     std::string m_lethalText;
     bool m_crashed = false;
-    /// Those that are open.
-    std::set<boost::asio::ip::tcp::socket *> m_sockets;
+    /// Those that are open. Shared, because the loop may end its coroutines after the peer is gone.
+    std::shared_ptr<std::set<boost::asio::ip::tcp::socket *>> m_sockets = std::make_shared<std::set<boost::asio::ip::tcp::socket *>>();
     std::vector<PeerAction> m_script;
     std::vector<std::string> m_requests;
     std::size_t m_connections = 0;
