--- a/src/failure/failure.cpp
+++ b/src/failure/failure.cpp
@@ -47,6 +47,7 @@
     KindEntry{FailureKind::NotFound, "not_found", absl::StatusCode::kNotFound},
     KindEntry{FailureKind::Fenced, "fenced", absl::StatusCode::kFailedPrecondition},
     KindEntry{FailureKind::Cancelled, "cancelled", absl::StatusCode::kCancelled},
+    KindEntry{FailureKind::Quarantined, "quarantined", absl::StatusCode::kUnavailable},
 };
 
 const KindEntry &entryOf(FailureKind kind)
--- a/src/failure/failure.h
+++ b/src/failure/failure.h
@@ -38,6 +38,7 @@
     NotFound,
     Fenced,
     Cancelled,
+    Quarantined,
 };
 
 /// What is known about whether the engine ran a request.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,7 @@
     , m_metrics(metrics)
     , m_board(m_options.board)
     , m_retries(m_options.retries)
+    , m_guard(m_executor, m_metrics)
     , m_becameReady(m_executor)
     , m_random(m_options.seed)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "net/httpserver.h"
 #include "net/signal.h"
 #include "operations/metrics.h"
+#include "quarantine/poisonguard.h"
 #include "routing/loadlink.h"
 
 #include <functional>
@@ -44,6 +45,8 @@
         std::size_t targetsAsked = 3;
         /// Whether an overloaded router refuses what it has no time for.
         bool sheds = true;
+        /// Whether requests that crash targets are held back.
+        bool quarantines = true;
         /// Seeds the choice among the services of a split route.
         std::uint64_t seed = 1;
     };
@@ -92,6 +95,12 @@
         return m_board;
     }
 
+    /// Requests that crash targets, and are held back.
+    PoisonGuard &guard()
+    {
+        return m_guard;
+    }
+
     /// From now on loads of targets are asked for and told. The link outlives this.
     void setLoads(LoadLink &loads);
 
@@ -135,6 +144,7 @@
     LoadShedder m_shedder;
     bool m_shedding = false;
     RetryBudget m_retries;
+    PoisonGuard m_guard;
     std::shared_ptr<const RoutingPlan> m_plan;
     /// The first plan or the first targets came.
     Signal m_becameReady;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -7,6 +7,7 @@
 #include "gateway/peerhelp.h"
 #include "gateway/targetfollower.h"
 #include "membership/routerregistry.h"
+#include "quarantine/quarantinekeeper.h"
 #include "store/tablewatcher.h"
 
 #include <absl/strings/str_cat.h>
@@ -74,6 +75,7 @@
         , m_gateway(m_executor, gatewayOptions(), m_ledger, m_metrics)
         , m_loads(m_executor, {.incarnation = m_options.incarnation, .address = m_options.link.address})
         , m_help(m_link, m_store, m_ledger, m_gateway, documentTaker())
+        , m_quarantine(m_store, m_gateway.guard())
         , m_targetFollower(
               m_gateway.board(), m_detours, m_metrics, {.listingFrom = m_options.listingFrom, .host = m_options.callers.address})
         , m_plans(m_store, planWatch())
@@ -118,6 +120,9 @@
             asio::co_spawn(m_executor, m_help.seekFirstPlan(), asio::detached);
         }
         asio::co_spawn(m_executor, m_targets.run(), asio::detached);
+        if (m_options.mechanisms.quarantine) {
+            asio::co_spawn(m_executor, m_quarantine.run(), asio::detached);
+        }
         asio::co_spawn(m_executor, expireTargets(), asio::detached);
         asio::co_spawn(m_executor, measureDelay(), asio::detached);
         logLine(Severity::Info, "router.started", {{"incarnation", m_options.incarnation}, {"callers", holder()}});
@@ -169,6 +174,7 @@
             options.gateway.startPatience = Duration::zero();
         }
         options.gateway.sheds = on.shedding;
+        options.gateway.quarantines = on.quarantine;
         if (!on.silence) {
             options.gateway.board.patience = s_never;
         }
@@ -348,6 +354,7 @@
             m_gateway.prune();
             if (round % s_roundsPerRenewal == 0) {
                 m_gateway.renewLoads();
+                m_gateway.guard().expire();
             }
         }
     }
@@ -415,6 +422,7 @@
     Gateway m_gateway;
     LoadLink m_loads;
     PeerHelp<Store> m_help;
+    QuarantineKeeper<Relayed> m_quarantine;
     TargetFollower m_targetFollower;
     TableWatcher<Relayed> m_plans;
     TableWatcher<Relayed> m_targets;
--- a/src/gateway/mechanisms.cpp
+++ b/src/gateway/mechanisms.cpp
@@ -18,7 +18,7 @@
     bool Mechanisms::*on;
 };
 
-constexpr std::array<Switch, 11> s_switches{{{"relays", &Mechanisms::relays},
+constexpr std::array<Switch, 12> s_switches{{{"relays", &Mechanisms::relays},
                                              {"carried-calls", &Mechanisms::carriedCalls},
                                              {"keepers", &Mechanisms::keepers},
                                              {"loans", &Mechanisms::loans},
@@ -28,7 +28,8 @@
                                              {"shared-loads", &Mechanisms::sharedLoads},
                                              {"shedding", &Mechanisms::shedding},
                                              {"silence", &Mechanisms::silence},
-                                             {"ejection", &Mechanisms::ejection}}};
+                                             {"ejection", &Mechanisms::ejection},
+                                             {"quarantine", &Mechanisms::quarantine}}};
 
 }
 
--- a/src/gateway/mechanisms.h
+++ b/src/gateway/mechanisms.h
@@ -31,10 +31,12 @@
     bool silence = true;
     /// Targets that broke off or failed several times in a row rest.
     bool ejection = true;
+    /// Requests that crash targets are held back.
+    bool quarantine = true;
 };
 
 /// All mechanisms but those named in the comma-separated list: relays, carried-calls, keepers, loans, ample-budgets, start-patience,
-/// favourites, shared-loads, shedding, silence, ejection. Any other name is an InvalidSetting.
+/// favourites, shared-loads, shedding, silence, ejection, quarantine. Any other name is an InvalidSetting.
 absl::StatusOr<Mechanisms> mechanismsWithout(std::string_view list);
 
 }
--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -11,6 +11,7 @@
 #include "net/pause.h"
 #include "net/signal.h"
 #include "operations/log.h"
+#include "quarantine/quarantinenotice.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -68,6 +69,7 @@
             [this](const std::string &peer, std::uint64_t version) {
                 hearOfPlan(peer, version);
             });
+        shareCrashes();
         m_ledger.onShortage(
             [this](std::string team, Tokens asked, std::vector<std::string> lenders) {
                 return borrow(std::move(team), asked, std::move(lenders));
@@ -115,6 +117,28 @@
         bool waitedFor = true;
     };
 
+    /// What crashes targets is seen in pieces: each copy of a request may come to another router.
+    void shareCrashes()
+    {
+        PoisonGuard &guard = m_gateway.guard();
+        guard.setAnnouncers(
+            [this](const CrashReport &report) {
+                m_link.announceCrash(toWire(report));
+            },
+            [this](const QuarantineChange &change) {
+                m_link.announceQuarantine(toWire(change));
+            });
+        m_link.onCrashes(
+            [&guard](const wire::CrashNotice &notice) {
+                guard.peerSawCrash(fromWire(notice));
+            },
+            [&guard](const std::string &peer, const wire::QuarantineNotice &notice) {
+                if (const std::optional<QuarantineChange> change = fromWire(notice)) {
+                    guard.take(*change, peer);
+                }
+            });
+    }
+
     asio::awaitable<wire::PeerAnswer> serve(wire::PeerCall call)
     {
         wire::PeerAnswer answer;
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -151,6 +151,9 @@
         m_team = team->name;
         m_priority = team->priority.value_or(m_priority);
     }
+    if (const absl::Status held = heldBack(); !held.ok()) {
+        return held;
+    }
     if (m_gateway.m_end && m_arrived + allowanceForEnd() > *m_gateway.m_end) {
         return toStatus(
             {.kind = FailureKind::Draining, .detail = "this router ends before the request would", .retryAfterMs = s_retryAfterDrainMs});
@@ -210,6 +213,7 @@
         m_placement = placement;
         m_attemptAt = now;
         m_attemptBegun = false;
+        m_brokeOff = false;
         m_lastHeard = now;
         m_sign = TargetSign::Neutral;
         m_gateway.m_board.sent(placement->incarnation, m_terms.prompt, placement->uncached, now);
@@ -246,6 +250,10 @@
     if (end != AttemptEnd::NotRun) {
         ++m_ran;
     }
+    noteBreakOff(end);
+    if (end == AttemptEnd::Delivered) {
+        noteAnswered();
+    }
     if (end != AttemptEnd::Delivered && end != AttemptEnd::CallerLeft) {
         logLine(Severity::Info,
                 "attempt.ended",
@@ -269,6 +277,10 @@
     if (ran && (!m_route->repeatable() || m_ran >= m_route->maxAttempts)) {
         return false;
     }
+    if (heldBackFor()) {
+        m_lastProblem.append("; targets crashed under this request");
+        return false;
+    }
     if (m_sent > 0 && !m_gateway.m_retries.tryRetry(m_serviceName, m_gateway.m_options.routers(), now)) {
         m_lastProblem.append("; retry budget used up");
         return false;
@@ -338,6 +350,7 @@
         end = endOf(started);
         m_lastProblem = std::string(started.message());
         m_sent += end == AttemptEnd::NotRun ? 0 : 1;
+        m_brokeOff = true;
         m_sign = m_callerLeft ? TargetSign::Neutral : TargetSign::Broken;
     }
     m_call = nullptr;
@@ -372,6 +385,14 @@
     co_return end;
 }
 
+RequestRun::AttemptEnd RequestRun::answerBrokeOff(const absl::Status &status)
+{
+    m_lastProblem = std::string(status.message());
+    m_sign = m_callerLeft ? TargetSign::Neutral : TargetSign::Failing;
+    m_brokeOff = true;
+    return endOf(status);
+}
+
 asio::awaitable<RequestRun::AttemptEnd> RequestRun::takeWhole(HttpStreamCall &call)
 {
     HeldAnswer answer{.status = call.status(), .headers = endToEndHeaders(call.headers())};
@@ -380,9 +401,7 @@
         call.setTimeout(clamped(m_deadline - steadyNow()));
         absl::StatusOr<std::string> piece = co_await call.readSome();
         if (!piece.ok()) {
-            m_lastProblem = std::string(piece.status().message());
-            m_sign = m_callerLeft ? TargetSign::Neutral : TargetSign::Failing;
-            const AttemptEnd end = endOf(piece.status());
+            const AttemptEnd end = answerBrokeOff(piece.status());
             co_return end;
         }
         noteFirstByte();
@@ -434,9 +453,7 @@
         call.setTimeout(clamped(first ? firstByteLimit(now) : std::min(m_deadline - now, silence)));
         const absl::StatusOr<std::string> piece = co_await call.readSome();
         if (!piece.ok()) {
-            m_lastProblem = std::string(piece.status().message());
-            m_sign = m_callerLeft ? TargetSign::Neutral : TargetSign::Failing;
-            const AttemptEnd end = endOf(piece.status());
+            const AttemptEnd end = answerBrokeOff(piece.status());
             co_return end;
         }
         noteFirstByte();
@@ -525,19 +542,56 @@
     co_await m_exchange.respond(refusal.status, "application/json", std::move(body), std::move(refusal.headers));
 }
 
+FingerprintSource RequestRun::fingerprintSource() const
+{
+    const HttpRequest &request = m_exchange.request();
+    return {.team = m_team,
+            .method = request.method_string(),
+            .host = m_exchange.header("Host"),
+            .target = request.target(),
+            .body = request.body()};
+}
+
 const RequestFingerprint &RequestRun::fingerprint()
 {
     if (!m_fingerprint) {
-        const HttpRequest &request = m_exchange.request();
-        m_fingerprint = RequestFingerprint::of({.team = m_team,
-                                                .method = request.method_string(),
-                                                .host = m_exchange.header("Host"),
-                                                .target = request.target(),
-                                                .body = request.body()});
+        m_fingerprint = RequestFingerprint::of(fingerprintSource());
     }
     return *m_fingerprint;
 }
 
+std::optional<Duration> RequestRun::heldBackFor()
+{
+    const bool known = m_gateway.m_guard.mayKnow(RequestFingerprint::addressHash(fingerprintSource()));
+    return known ? m_gateway.m_guard.heldFor(fingerprint()) : std::nullopt;
+}
+
+absl::Status RequestRun::heldBack()
+{
+    // A request that crashes every target that begins it comes again and again; sent on, each copy takes a target and all that runs there
+    // with it. This router or its peers have seen it do so.
+    const std::optional<Duration> held = heldBackFor();
+    if (!held) {
+        return absl::OkStatus();
+    }
+    return toStatus({.kind = FailureKind::Quarantined, .detail = "targets crashed under this request", .retryAfterMs = inMs(*held)});
+}
+
+void RequestRun::noteBreakOff(AttemptEnd end)
+{
+    const bool brokeOff = m_brokeOff && end == AttemptEnd::Broken && m_gateway.m_options.quarantines;
+    if (brokeOff && !m_gateway.m_board.expectedToEnd(m_placement->incarnation)) {
+        m_gateway.m_guard.brokeOff(m_placement->incarnation, m_placement->address, fingerprint());
+    }
+}
+
+void RequestRun::noteAnswered()
+{
+    if (m_gateway.m_guard.mayKnow(RequestFingerprint::addressHash(fingerprintSource()))) {
+        m_gateway.m_guard.answered(fingerprint());
+    }
+}
+
 void RequestRun::logEnd(std::string_view outcome, std::string_view detail)
 {
     const Instant now = steadyNow();
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -57,6 +57,11 @@
     };
 
     absl::Status admit();
+    FingerprintSource fingerprintSource() const;
+    std::optional<Duration> heldBackFor();
+    absl::Status heldBack();
+    void noteBreakOff(AttemptEnd end);
+    void noteAnswered();
     Duration longestRun() const;
     Duration allowanceForEnd() const;
     asio::awaitable<absl::Status> reserve();
@@ -70,6 +75,7 @@
     asio::awaitable<void> finish(AttemptEnd end);
     asio::awaitable<void> refuse(const Failure &failure);
     AttemptEnd endOf(const absl::Status &status) const;
+    AttemptEnd answerBrokeOff(const absl::Status &status);
     bool mayTryAgain(AttemptEnd end, Instant now);
     HttpCallOptions callOptions(const Placement &placement, Instant now) const;
     Duration firstByteLimit(Instant now) const;
@@ -116,6 +122,8 @@
     bool m_attemptBegun = false;
     /// When the running attempt was sent, or the last bytes of it came.
     Instant m_lastHeard{};
+    /// The running attempt lost its connection before its answer was whole.
+    bool m_brokeOff = false;
     /// What the last attempt tells of its target.
     TargetSign m_sign = TargetSign::Neutral;
     std::optional<Instant> m_firstByte;
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -204,6 +204,14 @@
         return m_targets.contains(incarnation);
     }
 
+    /// True when the end of the target is expected: it has said that it leaves, or the list does not show it any more. Requests that it
+    /// cuts when it goes did not bring it down.
+    bool expectedToEnd(const std::string &incarnation) const
+    {
+        const auto found = m_targets.find(incarnation);
+        return found == m_targets.end() || found->second.listing.leaving;
+    }
+
     /// True when the target of that name has started again since this life of it.
     bool reborn(const std::string &name, const std::string &incarnation) const
     {
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -34,6 +34,12 @@
     m_onPlanNotice = std::move(onPlanNotice);
 }
 
+void PeerLink::onCrashes(CrashHandler onCrash, QuarantineHandler onQuarantine)
+{
+    m_onCrash = std::move(onCrash);
+    m_onQuarantine = std::move(onQuarantine);
+}
+
 absl::Status PeerLink::open()
 {
     absl::Status opened = m_hub.open();
@@ -93,6 +99,25 @@
 {
     wire::Envelope envelope;
     envelope.mutable_plan_notice()->set_version(version);
+    sendToAll(envelope);
+}
+
+void PeerLink::announceCrash(wire::CrashNotice notice)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_crash_notice() = std::move(notice);
+    sendToAll(envelope);
+}
+
+void PeerLink::announceQuarantine(wire::QuarantineNotice notice)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_quarantine_notice() = std::move(notice);
+    sendToAll(envelope);
+}
+
+void PeerLink::sendToAll(const wire::Envelope &envelope)
+{
     for (const std::string &peer : m_peers) {
         m_hub.send(peer, envelope);
     }
@@ -108,6 +133,14 @@
         m_onPlanNotice(peer, message.plan_notice().version());
         return;
     }
+    if (message.has_crash_notice()) {
+        m_onCrash(message.crash_notice());
+        return;
+    }
+    if (message.has_quarantine_notice()) {
+        m_onQuarantine(peer, message.quarantine_notice());
+        return;
+    }
     const auto pending = m_pending.find(message.peer_answer().call_id());
     // An answer after its call's time is up has nobody to take it: a loan in it stays counted as spent by its lender.
     if (message.has_peer_answer() && pending != m_pending.end()) {
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -35,12 +35,17 @@
 
     using Server = std::function<boost::asio::awaitable<wire::PeerAnswer>(wire::PeerCall call)>;
     using NoticeHandler = std::function<void(const std::string &peer, std::uint64_t planVersion)>;
+    using CrashHandler = std::function<void(const wire::CrashNotice &notice)>;
+    using QuarantineHandler = std::function<void(const std::string &peer, const wire::QuarantineNotice &notice)>;
 
     PeerLink(boost::asio::any_io_executor executor, Options options);
 
     /// Who answers peers' calls, and who hears of their configurations. Before open().
     void serve(Server server, NoticeHandler onPlanNotice);
 
+    /// Who hears of targets that crashed, and of requests that are held back for it. Before open().
+    void onCrashes(CrashHandler onCrash, QuarantineHandler onQuarantine);
+
     /// Listens; a taken address is an InvalidSetting.
     absl::Status open();
 
@@ -53,6 +58,12 @@
     /// Tells every peer which configuration is in force here.
     void announcePlan(std::uint64_t version);
 
+    /// Tells every peer what this router had under way at a target that crashed.
+    void announceCrash(wire::CrashNotice notice);
+
+    /// Tells every peer that a request is held back, or no longer is.
+    void announceQuarantine(wire::QuarantineNotice notice);
+
     /// The loop that answers and notices arrive on.
     const boost::asio::any_io_executor &executor() const
     {
@@ -80,6 +91,7 @@
     };
 
     void connect(const std::string &peer);
+    void sendToAll(const wire::Envelope &envelope);
     void take(const std::string &peer, const wire::Envelope &message);
     boost::asio::awaitable<void> answer(std::string peer, wire::PeerCall call);
 
@@ -87,6 +99,8 @@
     Options m_options;
     Server m_server;
     NoticeHandler m_onPlanNotice;
+    CrashHandler m_onCrash = [](const wire::CrashNotice &) {};
+    QuarantineHandler m_onQuarantine = [](const std::string &, const wire::QuarantineNotice &) {};
     std::set<std::string> m_peers;
     std::map<std::uint64_t, std::shared_ptr<Pending>> m_pending;
     std::uint64_t m_lastCall = 0;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -462,6 +462,7 @@
     case FailureKind::ClaimUnavailable:
     case FailureKind::TableUnreachable:
     case FailureKind::ObjectUnreachable:
+    case FailureKind::Quarantined:
         break;
     }
     return 503;
--- /dev/null
+++ b/src/quarantine/crashwatch.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "clock/instant.h"
+#include "quarantine/requestfingerprint.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bamboohold {
+
+/// Tells crashes of targets from everything else that breaks an answer off, and knows what this router had under way there.
+///
+/// Pure. A connection that ends early says little: answers get lost, connections are reset, a host loses power. Only a target that refuses
+/// new connections right afterwards has ended, so it is asked; one that accepts, or does not answer at all, has not crashed of a request.
+class CrashWatch
+{
+public:
+    /// What to do about an attempt that broke off.
+    enum class Step {
+        /// The target is being asked.
+        Wait,
+        /// Open a connection to the target, and tell `refused` or `alive`.
+        Ask,
+        /// The target has crashed: report this request as well.
+        Report,
+    };
+
+    /// An attempt at this life of a target broke off.
+    Step brokeOff(const std::string &incarnation, const RequestFingerprint &fingerprint, Instant now);
+
+    /// The target refuses connections. Returns what broke off there.
+    std::vector<RequestFingerprint> refused(const std::string &incarnation);
+
+    /// The target accepts connections, or nothing can be said of it.
+    void alive(const std::string &incarnation);
+
+    /// Forgets targets that crashed a while ago. Call now and then.
+    void expire(Instant now);
+
+private:
+    struct Broken {
+        std::vector<RequestFingerprint> fingerprints;
+        bool crashed = false;
+        Instant last{};
+    };
+
+    std::map<std::string, Broken> m_targets;
+};
+
+}
--- /dev/null
+++ b/src/quarantine/poisonguard.cpp
@@ -0,0 +1,155 @@
+#include "quarantine/poisonguard.h"
+
+#include "clock/steadytime.h"
+#include "net/endpoint.h"
+#include "net/pause.h"
+#include "operations/log.h"
+#include "routing/stablehash.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace bamboohold {
+
+namespace {
+
+constexpr auto s_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// A host without power answers nothing at all.
+constexpr Duration s_askTimeout = std::chrono::milliseconds(250);
+/// The ends of all attempts at a target that crashed are taken together, so that each peer is told once.
+constexpr Duration s_gatherTime = std::chrono::milliseconds(20);
+
+std::int64_t inSeconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(duration).count();
+}
+
+}
+
+PoisonGuard::PoisonGuard(boost::asio::any_io_executor executor, Metrics &metrics)
+    : m_executor(std::move(executor))
+    , m_metrics(metrics)
+    , m_decided(m_executor)
+    , m_tellCrash([](const CrashReport &) {})
+    , m_tellChange([](const QuarantineChange &) {})
+{
+}
+
+void PoisonGuard::setAnnouncers(std::function<void(const CrashReport &)> crash, std::function<void(const QuarantineChange &)> change)
+{
+    m_tellCrash = std::move(crash);
+    m_tellChange = std::move(change);
+}
+
+void PoisonGuard::brokeOff(const std::string &incarnation, const std::string &address, const RequestFingerprint &fingerprint)
+{
+    switch (m_watch.brokeOff(incarnation, fingerprint, steadyNow())) {
+    case CrashWatch::Step::Wait:
+        break;
+    case CrashWatch::Step::Ask:
+        boost::asio::co_spawn(m_executor, ask(incarnation, address), boost::asio::detached);
+        break;
+    case CrashWatch::Step::Report:
+        report(incarnation, {fingerprint});
+        break;
+    }
+}
+
+boost::asio::awaitable<void> PoisonGuard::ask(std::string incarnation, std::string address)
+{
+    boost::beast::tcp_stream stream(m_executor);
+    stream.expires_after(s_askTimeout);
+    const auto endpoint = endpointFrom(address).value_or(boost::asio::ip::tcp::endpoint());
+    const auto [error] = co_await stream.async_connect(endpoint, s_tuple);
+    if (error != boost::asio::error::connection_refused) {
+        m_watch.alive(incarnation);
+        co_return;
+    }
+    co_await pause(s_gatherTime);
+    report(incarnation, m_watch.refused(incarnation));
+}
+
+void PoisonGuard::report(const std::string &incarnation, std::vector<RequestFingerprint> underWay)
+{
+    const CrashReport crash{.target = stableHash(incarnation), .underWay = std::move(underWay)};
+    logLine(
+        Severity::Warning, "target.crashed", {{"target", incarnation}, {"under_way", static_cast<std::int64_t>(crash.underWay.size())}});
+    m_metrics.count("crash_reports_total", {.name = "from", .value = "here"});
+    m_tellCrash(crash);
+    const Instant now = steadyNow();
+    for (const RequestFingerprint &fingerprint : m_quarantine.crashed(crash.target, crash.underWay, now)) {
+        const Quarantine::Entry &entry = m_quarantine.entries().at(fingerprint);
+        logLine(Severity::Warning,
+                "request.quarantined",
+                {{"fingerprint", fingerprint.text()},
+                 {"target", incarnation},
+                 {"crashes", static_cast<std::int64_t>(entry.targets.size())},
+                 {"for_s", inSeconds(entry.until - now)}});
+        m_tellChange({.fingerprint = fingerprint, .remaining = entry.until - now, .terms = entry.terms});
+        m_acquitted.erase(fingerprint);
+        m_decided.notify();
+    }
+    count();
+}
+
+void PoisonGuard::answered(const RequestFingerprint &fingerprint)
+{
+    const bool held = m_quarantine.entries().contains(fingerprint);
+    if (!m_quarantine.acquit(fingerprint)) {
+        return;
+    }
+    logLine(Severity::Info, "request.acquitted", {{"fingerprint", fingerprint.text()}, {"was_held", held}});
+    m_tellChange({.fingerprint = fingerprint});
+    if (held) {
+        m_acquitted.insert(fingerprint);
+        m_decided.notify();
+    }
+    count();
+}
+
+std::optional<Duration> PoisonGuard::heldFor(const RequestFingerprint &fingerprint) const
+{
+    return m_quarantine.heldFor(fingerprint, steadyNow());
+}
+
+void PoisonGuard::peerSawCrash(const CrashReport &report)
+{
+    m_metrics.count("crash_reports_total", {.name = "from", .value = "peer"});
+    // Whoever saw the crash that decides it tells the others and the store; here it is only believed sooner.
+    for (const RequestFingerprint &fingerprint : m_quarantine.crashed(report.target, report.underWay, steadyNow())) {
+        logLine(Severity::Warning, "request.quarantined", {{"fingerprint", fingerprint.text()}, {"by", "peers' reports"}});
+    }
+    count();
+}
+
+void PoisonGuard::take(const QuarantineChange &change, std::string_view from)
+{
+    const Instant now = steadyNow();
+    const bool lifts = change.terms == 0;
+    const bool isNew =
+        lifts ? m_quarantine.acquit(change.fingerprint) : m_quarantine.learn(change.fingerprint, now + change.remaining, change.terms, now);
+    if (isNew) {
+        logLine(Severity::Info,
+                lifts ? "request.acquitted" : "request.quarantined",
+                {{"fingerprint", change.fingerprint.text()}, {"by", from}, {"for_s", inSeconds(change.remaining)}});
+        count();
+    }
+}
+
+void PoisonGuard::expire()
+{
+    m_watch.expire(steadyNow());
+    m_quarantine.expire(steadyNow());
+}
+
+void PoisonGuard::count() const
+{
+    m_metrics.gauge("quarantine_requests", {.name = "state", .value = "held"}, static_cast<std::int64_t>(m_quarantine.entries().size()));
+    m_metrics.gauge("quarantine_requests", {.name = "state", .value = "suspected"}, static_cast<std::int64_t>(m_quarantine.suspects()));
+}
+
+}
--- /dev/null
+++ b/src/quarantine/poisonguard.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "net/signal.h"
+#include "operations/metrics.h"
+#include "quarantine/crashwatch.h"
+#include "quarantine/quarantine.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bamboohold {
+
+/// What one router had under way at a target that crashed.
+struct CrashReport {
+    /// A hash of the target's incarnation.
+    std::uint64_t target = 0;
+    std::vector<RequestFingerprint> underWay;
+};
+
+/// A request is held back from now on, or is not any more.
+struct QuarantineChange {
+    RequestFingerprint fingerprint;
+    /// How much longer; negative once its time is over and one more crash would put it back.
+    Duration remaining{};
+    /// Times that it was put there; 0: nothing speaks against it any more.
+    unsigned terms = 0;
+};
+
+/// Keeps requests that crash the targets they run on from reaching more of them.
+///
+/// The runtime around CrashWatch and Quarantine: it asks targets whether they still listen, tells the peers what this router saw, and logs
+/// and counts. Lives on one event loop, and outlives all that it spawns there.
+class PoisonGuard
+{
+public:
+    PoisonGuard(boost::asio::any_io_executor executor, Metrics &metrics);
+
+    /// Who tells the peers.
+    void setAnnouncers(std::function<void(const CrashReport &)> crash, std::function<void(const QuarantineChange &)> change);
+
+    /// An attempt at a target that was not about to leave broke off.
+    void brokeOff(const std::string &incarnation, const std::string &address, const RequestFingerprint &fingerprint);
+
+    /// A request was answered whole.
+    void answered(const RequestFingerprint &fingerprint);
+
+    /// True when something may speak against a request of this address; see Quarantine.
+    bool mayKnow(std::uint64_t addressHash) const
+    {
+        return m_quarantine.mayKnow(addressHash);
+    }
+
+    /// How much longer the request is held back; none when it is not.
+    std::optional<Duration> heldFor(const RequestFingerprint &fingerprint) const;
+
+    /// A peer saw a target crash.
+    void peerSawCrash(const CrashReport &report);
+
+    /// A peer, or the store, holds a request back or no longer does.
+    void take(const QuarantineChange &change, std::string_view from);
+
+    /// Forgets what is long past. Call now and then.
+    void expire();
+
+    /// What is held back, for whoever keeps it in the store.
+    Quarantine &quarantine()
+    {
+        return m_quarantine;
+    }
+
+    /// Requests acquitted here whose rows in the store have to go.
+    std::set<RequestFingerprint> &acquitted()
+    {
+        return m_acquitted;
+    }
+
+    /// Something was decided here that the store should know.
+    Signal &decided()
+    {
+        return m_decided;
+    }
+
+private:
+    boost::asio::awaitable<void> ask(std::string incarnation, std::string address);
+    void report(const std::string &incarnation, std::vector<RequestFingerprint> underWay);
+    void count() const;
+
+    boost::asio::any_io_executor m_executor;
+    Metrics &m_metrics;
+    CrashWatch m_watch;
+    Quarantine m_quarantine;
+    std::set<RequestFingerprint> m_acquitted;
+    Signal m_decided;
+    std::function<void(const CrashReport &)> m_tellCrash;
+    std::function<void(const QuarantineChange &)> m_tellChange;
+};
+
+}
--- /dev/null
+++ b/src/quarantine/quarantinekeeper.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "clock/steadytime.h"
+#include "operations/log.h"
+#include "quarantine/poisonguard.h"
+#include "quarantine/quarantinerow.h"
+#include "store/rowstore.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bamboohold {
+
+/// Keeps the quarantine in the store, so that it outlives the routers, and reads what others put there.
+///
+/// Routers tell each other at once; the store is for those that were not there: a fleet that lost power would send a request on that had
+/// crashed three targets, three more times.
+template<RowStore Store>
+class QuarantineKeeper
+{
+public:
+    struct Options {
+        /// Between two reads. Shorter than the time in which a change has to be known to every router in touch with the store, so that the
+        /// notice of a peer may be lost.
+        Duration interval = std::chrono::seconds(2);
+        /// After a call that was declined or lost.
+        Duration retryPause = std::chrono::milliseconds(300);
+    };
+
+    QuarantineKeeper(Store &store, PoisonGuard &guard, Options options)
+        : m_store(store)
+        , m_guard(guard)
+        , m_options(options)
+    {
+    }
+
+    QuarantineKeeper(Store &store, PoisonGuard &guard)
+        : QuarantineKeeper(store, guard, Options{})
+    {
+    }
+
+    /// Runs for as long as the process.
+    boost::asio::awaitable<void> run()
+    {
+        while (true) {
+            const bool done = co_await synchronise();
+            co_await m_guard.decided().wait(done ? m_options.interval : m_options.retryPause);
+        }
+    }
+
+    /// Reads the rows and writes what the store lacks. False when a call failed, or another router was quicker.
+    boost::asio::awaitable<bool> synchronise()
+    {
+        const std::string table(s_quarantineTable);
+        const std::string wholePart;
+        const absl::StatusOr<RowsRead> read = co_await m_store.read(table, wholePart);
+        noteStore(read.ok());
+        // An answer older than one that was seen lacks rows that are there: what it lacks would be let pass.
+        if (!read.ok() || read->version < m_version) {
+            co_return false;
+        }
+        m_version = read->version;
+        takeRows(*read);
+        const RowTransaction transaction = missing(*read);
+        if (transaction.changes.empty()) {
+            co_return true;
+        }
+        const absl::StatusOr<RowVerdict> verdict = co_await m_store.transact(transaction);
+        noteStore(verdict.ok());
+        co_return verdict.ok() && verdict->applied;
+    }
+
+private:
+    /// A transaction holds a hundred entries at most, conditions and changes together.
+    static constexpr std::size_t s_mostChanges = 40;
+
+    using Entries = Quarantine::Entries;
+
+    static RowAddress addressOf(const RequestFingerprint &fingerprint)
+    {
+        return {.table = std::string(s_quarantineTable), .part = "", .key = fingerprint.text()};
+    }
+
+    void takeRows(const RowsRead &read)
+    {
+        m_rows.clear();
+        for (const StoredRow &row : read.rows) {
+            takeRow(row, read.storeTime);
+        }
+        std::erase_if(m_guard.acquitted(), [this](const RequestFingerprint &fingerprint) {
+            return !m_rows.contains(fingerprint);
+        });
+        std::vector<RequestFingerprint> lifted;
+        for (const auto &[fingerprint, entry] : m_guard.quarantine().entries()) {
+            if (entry.stored && !m_rows.contains(fingerprint)) {
+                lifted.push_back(fingerprint);
+            }
+        }
+        for (const RequestFingerprint &fingerprint : lifted) {
+            m_guard.take({.fingerprint = fingerprint}, "the store");
+        }
+    }
+
+    void takeRow(const StoredRow &row, StoreTimeMs storeTime)
+    {
+        const std::optional<RequestFingerprint> fingerprint = RequestFingerprint::fromText(row.address.key);
+        const absl::StatusOr<QuarantineRow> content = quarantineRowFrom(row.value);
+        if (!fingerprint || !content.ok()) {
+            if (row.version > m_newestSpoilt) {
+                m_newestSpoilt = row.version;
+                logLine(Severity::Error, "quarantine.unreadable", {{"key", row.address.key}});
+            }
+            return;
+        }
+        m_rows[*fingerprint] = {.version = row.version, .content = *content};
+        if (m_guard.acquitted().contains(*fingerprint) || past(*content, storeTime)) {
+            return;
+        }
+        const Duration remaining = Quarantine::boundedTerm(content->until - storeTime);
+        m_guard.take({.fingerprint = *fingerprint, .remaining = remaining, .terms = content->terms}, "the store");
+        m_guard.quarantine().setStored(*fingerprint);
+    }
+
+    /// True for a row that nobody remembers any more.
+    static bool past(const QuarantineRow &row, StoreTimeMs storeTime)
+    {
+        return Quarantine::boundedTerm(row.until - storeTime) <= -Quarantine::s_longestTerm;
+    }
+
+    RowTransaction missing(const RowsRead &read) const
+    {
+        RowTransaction transaction;
+        const auto change = [&transaction](const RequestFingerprint &fingerprint, std::uint64_t version, std::optional<std::string> value) {
+            if (transaction.changes.size() < s_mostChanges) {
+                transaction.conditions.push_back({.address = addressOf(fingerprint), .version = version});
+                transaction.changes.push_back({.address = addressOf(fingerprint), .value = std::move(value)});
+            }
+        };
+        const Instant now = steadyNow();
+        for (const auto &[fingerprint, entry] : m_guard.quarantine().entries()) {
+            const auto row = m_rows.find(fingerprint);
+            if (row == m_rows.end() || row->second.content.terms < entry.terms) {
+                const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(entry.until - now).count();
+                const QuarantineRow content{.until = read.storeTime + left, .terms = entry.terms};
+                change(fingerprint, row == m_rows.end() ? 0 : row->second.version, toText(content));
+            }
+        }
+        const StoreTimeMs oldestKept = oldestKeptUntil();
+        for (const auto &[fingerprint, row] : m_rows) {
+            const bool surplus = row.content.until < oldestKept;
+            if (surplus || m_guard.acquitted().contains(fingerprint) || past(row.content, read.storeTime)) {
+                change(fingerprint, row.version, std::nullopt);
+            }
+        }
+        return transaction;
+    }
+
+    /// Rows whose time is over before this are more than are kept.
+    StoreTimeMs oldestKeptUntil() const
+    {
+        const std::size_t most = m_guard.quarantine().options().mostEntries;
+        if (m_rows.size() <= most) {
+            return 0;
+        }
+        std::vector<StoreTimeMs> untils;
+        for (const auto &[fingerprint, row] : m_rows) {
+            untils.push_back(row.content.until);
+        }
+        const auto oldest = untils.begin() + static_cast<std::ptrdiff_t>(untils.size() - most);
+        std::ranges::nth_element(untils, oldest);
+        return *oldest;
+    }
+
+    void noteStore(bool answers)
+    {
+        if (answers != m_answers) {
+            logLine(answers ? Severity::Info : Severity::Warning, answers ? "quarantine.store_regained" : "quarantine.store_lost", {});
+        }
+        m_answers = answers;
+    }
+
+    struct Row {
+        std::uint64_t version = 0;
+        QuarantineRow content;
+    };
+
+    Store &m_store;
+    PoisonGuard &m_guard;
+    Options m_options;
+    /// As of the last read.
+    std::map<RequestFingerprint, Row> m_rows;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_newestSpoilt = 0;
+    bool m_answers = true;
+};
+
+}
--- /dev/null
+++ b/src/quarantine/quarantinenotice.cpp
@@ -0,0 +1,50 @@
+#include "quarantine/quarantinenotice.h"
+
+#include "operations/log.h"
+
+namespace bamboohold {
+
+wire::CrashNotice toWire(const CrashReport &report)
+{
+    wire::CrashNotice notice;
+    notice.set_target(report.target);
+    for (const RequestFingerprint &fingerprint : report.underWay) {
+        notice.add_under_way(std::string(fingerprint.bytes()));
+    }
+    return notice;
+}
+
+wire::QuarantineNotice toWire(const QuarantineChange &change)
+{
+    wire::QuarantineNotice notice;
+    notice.set_fingerprint(std::string(change.fingerprint.bytes()));
+    notice.set_remaining_ms(std::chrono::duration_cast<std::chrono::milliseconds>(change.remaining).count());
+    notice.set_terms(change.terms);
+    return notice;
+}
+
+CrashReport fromWire(const wire::CrashNotice &notice)
+{
+    CrashReport report{.target = notice.target()};
+    for (const std::string &bytes : notice.under_way()) {
+        if (const std::optional<RequestFingerprint> fingerprint = RequestFingerprint::fromBytes(bytes)) {
+            report.underWay.push_back(*fingerprint);
+        } else {
+            logLine(Severity::Warning, "quarantine.notice_unreadable", {{"bytes", static_cast<std::int64_t>(bytes.size())}});
+        }
+    }
+    return report;
+}
+
+std::optional<QuarantineChange> fromWire(const wire::QuarantineNotice &notice)
+{
+    const std::optional<RequestFingerprint> fingerprint = RequestFingerprint::fromBytes(notice.fingerprint());
+    if (!fingerprint) {
+        logLine(Severity::Warning, "quarantine.notice_unreadable", {{"bytes", static_cast<std::int64_t>(notice.fingerprint().size())}});
+        return std::nullopt;
+    }
+    return QuarantineChange{
+        .fingerprint = *fingerprint, .remaining = Quarantine::boundedTerm(notice.remaining_ms()), .terms = notice.terms()};
+}
+
+}
--- /dev/null
+++ b/src/quarantine/quarantinerow.cpp
@@ -0,0 +1,44 @@
+#include "quarantine/quarantinerow.h"
+
+#include "failure/failure.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <limits>
+
+namespace bamboohold {
+
+namespace {
+
+/// A whole number of the object that is not negative; -1 when there is none.
+std::int64_t numberOf(const boost::json::object &object, std::string_view name)
+{
+    const boost::json::value *value = object.if_contains({name.data(), name.size()});
+    return value != nullptr && value->is_int64() && value->get_int64() >= 0 ? value->get_int64() : -1;
+}
+
+}
+
+std::string toText(const QuarantineRow &row)
+{
+    return boost::json::serialize(boost::json::object{{"until_ms", row.until}, {"terms", row.terms}});
+}
+
+absl::StatusOr<QuarantineRow> quarantineRowFrom(std::string_view text)
+{
+    boost::json::error_code error;
+    const boost::json::value value = boost::json::parse({text.data(), text.size()}, error);
+    if (error || !value.is_object()) {
+        return failed(FailureKind::InvalidDocument, "a quarantine row that is no object");
+    }
+    const std::int64_t until = numberOf(value.get_object(), "until_ms");
+    const std::int64_t terms = numberOf(value.get_object(), "terms");
+    if (until < 0 || terms < 1 || terms > std::numeric_limits<std::int32_t>::max()) {
+        return failed(FailureKind::InvalidDocument, "a quarantine row without a time or a number of terms");
+    }
+    return QuarantineRow{.until = until, .terms = static_cast<unsigned>(terms)};
+}
+
+}
--- /dev/null
+++ b/src/quarantine/quarantinerow.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "store/rowstore.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace bamboohold {
+
+/// The table of requests that are held back: one part, a row for each, under its fingerprint's text. An operator who takes a row away lets
+/// the request pass again, on every router within seconds.
+inline constexpr std::string_view s_quarantineTable = "quarantine";
+
+/// What the store knows of one of them.
+struct QuarantineRow {
+    /// Store time until which it is held back.
+    StoreTimeMs until = 0;
+    /// Times that it was put there.
+    unsigned terms = 1;
+
+    bool operator==(const QuarantineRow &) const = default;
+};
+
+std::string toText(const QuarantineRow &row);
+
+/// The row of a text; InvalidDocument when it is none.
+absl::StatusOr<QuarantineRow> quarantineRowFrom(std::string_view text);
+
+}
--- a/src/quarantine/requestfingerprint.cpp
+++ b/src/quarantine/requestfingerprint.cpp
@@ -1,6 +1,9 @@
 #include "quarantine/requestfingerprint.h"
 
+#include "routing/stablehash.h"
+
 #include <absl/strings/escaping.h>
+#include <boost/endian/conversion.hpp>
 #include <openssl/evp.h>
 
 #include <algorithm>
@@ -30,10 +33,25 @@
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
     RequestFingerprint fingerprint;
-    std::copy_n(digest.begin(), s_size, fingerprint.m_bytes.begin());
+    boost::endian::store_big_u64(reinterpret_cast<unsigned char *>(fingerprint.m_bytes.data()), addressHash(source));
+    std::copy_n(digest.begin(), s_size - s_addressSize, fingerprint.m_bytes.begin() + s_addressSize);
     return fingerprint;
 }
 
+std::uint64_t RequestFingerprint::addressHash(const FingerprintSource &source)
+{
+    std::uint64_t hash = 0;
+    for (const std::string_view field : {source.team, source.method, source.host, source.target}) {
+        hash = mixed(hash ^ stableHash(field));
+    }
+    return hash;
+}
+
+std::uint64_t RequestFingerprint::addressHash() const
+{
+    return boost::endian::load_big_u64(reinterpret_cast<const unsigned char *>(m_bytes.data()));
+}
+
 std::optional<RequestFingerprint> RequestFingerprint::fromBytes(std::string_view bytes)
 {
     if (bytes.size() != s_size) {
--- a/src/quarantine/requestfingerprint.h
+++ b/src/quarantine/requestfingerprint.h
@@ -23,12 +23,19 @@
 class RequestFingerprint
 {
 public:
-    /// Bytes kept of the digest. A caller that could find two requests with the same 16 bytes could have one of them refused for the other;
-    /// the team is part of the digest, so at most its own.
-    static constexpr std::size_t s_size = 16;
+    /// Bytes of the address hash, and kept of the digest of everything. A caller that could find two requests with the same 16 bytes of
+    /// digest could have one of them refused for the other; the team is part of it, so at most its own.
+    static constexpr std::size_t s_addressSize = 8;
+    static constexpr std::size_t s_size = s_addressSize + 16;
 
     static RequestFingerprint of(const FingerprintSource &source);
 
+    /// A hash of everything but the body: what tells most requests from the few that are looked for, before a long body is digested.
+    static std::uint64_t addressHash(const FingerprintSource &source);
+
+    /// The address hash of the request.
+    std::uint64_t addressHash() const;
+
     /// The fingerprint with these bytes, as `bytes` gave them; none when their number is another.
     static std::optional<RequestFingerprint> fromBytes(std::string_view bytes);
 
@@ -44,12 +51,9 @@
     std::string text() const;
 
     bool operator==(const RequestFingerprint &) const = default;
-    auto operator<=>(const RequestFingerprint &) const = default;
-
-    template<typename H>
-    friend H AbslHashValue(H state, const RequestFingerprint &fingerprint)
+    bool operator<(const RequestFingerprint &other) const
     {
-        return H::combine(std::move(state), fingerprint.m_bytes);
+        return m_bytes < other.m_bytes;
     }
 
 private:
--- /dev/null
+++ b/src/tests/crashwatchtest.cpp
@@ -0,0 +1,56 @@
+#include "quarantine/crashwatch.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace bamboohold;
+
+namespace {
+
+using Step = CrashWatch::Step;
+
+RequestFingerprint request(const std::string &body)
+{
+    return RequestFingerprint::of({.body = body});
+}
+
+constexpr Instant s_now = Instant{} + std::chrono::hours(1);
+
+}
+
+BOOST_AUTO_TEST_SUITE(CrashWatchTest)
+
+// All connections of a target close at once. It is asked once, and all that was under way there is reported together; what the loop gets
+// to later is reported as well.
+BOOST_AUTO_TEST_CASE(aTargetThatRefusesHasCrashed)
+{
+    CrashWatch watch;
+    BOOST_TEST((watch.brokeOff("target", request("a"), s_now) == Step::Ask));
+    BOOST_TEST((watch.brokeOff("target", request("b"), s_now) == Step::Wait));
+    BOOST_TEST((watch.brokeOff("other", request("c"), s_now) == Step::Ask));
+    BOOST_TEST((watch.refused("target") == std::vector{request("a"), request("b")}));
+    BOOST_TEST((watch.brokeOff("target", request("d"), s_now) == Step::Report));
+}
+
+// A target loses an answer, or resets a connection, and lives: nothing is held against what was under way there, also when it crashes of
+// something else a moment later.
+BOOST_AUTO_TEST_CASE(aTargetThatAcceptsLives)
+{
+    CrashWatch watch;
+    watch.brokeOff("target", request("a"), s_now);
+    watch.alive("target");
+    BOOST_TEST((watch.brokeOff("target", request("b"), s_now) == Step::Ask));
+    BOOST_TEST((watch.refused("target") == std::vector{request("b")}));
+}
+
+BOOST_AUTO_TEST_CASE(oldCrashesAreForgotten)
+{
+    CrashWatch watch;
+    watch.brokeOff("target", request("a"), s_now);
+    watch.refused("target");
+    watch.expire(s_now + std::chrono::minutes(1));
+    BOOST_TEST((watch.brokeOff("target", request("b"), s_now + std::chrono::minutes(1)) == Step::Ask));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/poisonrequesttest.cpp
+++ b/src/tests/poisonrequesttest.cpp
@@ -186,6 +186,22 @@
         co_return answer;
     }
 
+    /// The target that such a request reaches next crashes.
+    void crashNextOn(const std::string &text)
+    {
+        for (const auto &target : m_targets) {
+            target->crashOn(text);
+        }
+    }
+
+    /// Targets crash on poison alone.
+    void crashOnPoisonOnly()
+    {
+        for (const auto &target : m_targets) {
+            target->crashOn(std::string(s_poison));
+        }
+    }
+
     std::size_t crashed() const
     {
         return std::ranges::count_if(m_targets, [](const auto &target) {
@@ -238,4 +254,45 @@
     BOOST_TEST(scene.crashed() == s_mostCrashed);
 }
 
+// The caller of a poisonous request has others too, and so have its fellows: they did nothing, and are served as before, on targets that
+// are left.
+BOOST_AUTO_TEST_CASE(otherRequestsOfTheSameCallerAreServed)
+{
+    Scene scene;
+    scene.play([&]() -> asio::awaitable<void> {
+        co_await pause(s_spreadTime);
+        for (std::size_t copy = 0; copy < s_mostCrashed; ++copy) {
+            co_await scene.send(copy % s_routers, draftRequest(absl::StrCat("early-", copy), s_poison));
+        }
+        co_await pause(s_spreadTime);
+        for (std::size_t router = 0; router < s_routers; ++router) {
+            const std::string answer = co_await scene.send(router, draftRequest(absl::StrCat("sound-", router), "draft block 9"));
+            BOOST_TEST(answer.starts_with("HTTP/1.1 200 "), answer);
+            BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+        }
+    });
+}
+
+// Targets crash of something else while one request is under way at each of them, and its caller tries again: it must not be refused. Here
+// it is answered between the crashes.
+BOOST_AUTO_TEST_CASE(aRequestThatIsAnsweredBetweenCrashesIsServed)
+{
+    Scene scene;
+    scene.play([&]() -> asio::awaitable<void> {
+        co_await pause(s_spreadTime);
+        for (std::size_t round = 0; round < s_targets - 1; ++round) {
+            scene.crashNextOn("held up by chance");
+            const std::string cut = co_await scene.send(round % s_routers, draftRequest(absl::StrCat("cut-", round), "held up by chance"));
+            BOOST_TEST(cut.starts_with("HTTP/1.1 502 "), cut);
+            scene.crashOnPoisonOnly();
+            co_await pause(s_spreadTime / 5);
+            const std::string answer =
+                co_await scene.send((round + 1) % s_routers, draftRequest(absl::StrCat("again-", round), "held up by chance"));
+            BOOST_TEST(answer.starts_with("HTTP/1.1 200 "), answer);
+            co_await pause(s_spreadTime / 5);
+        }
+    });
+    BOOST_TEST(scene.crashed() == s_targets - 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/quarantinekeepertest.cpp
@@ -0,0 +1,233 @@
+#include "quarantine/quarantinekeeper.h"
+
+#include "failure/failure.h"
+#include "store/memoryrows.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace bamboohold;
+
+namespace {
+
+RequestFingerprint request(const std::string &body)
+{
+    return RequestFingerprint::of({.team = "team", .body = body});
+}
+
+/// The store that all routers share, in a time that the test sets.
+struct SharedRows {
+    boost::asio::awaitable<absl::StatusOr<RowVerdict>> transact(const RowTransaction &transaction)
+    {
+        ++writes;
+        co_return rows.transact(transaction, now);
+    }
+
+    boost::asio::awaitable<absl::StatusOr<RowsRead>> read(const std::string &table, const std::string &part)
+    {
+        if (older) {
+            co_return *older;
+        }
+        co_return rows.read(table, part, now);
+    }
+
+    boost::asio::awaitable<absl::StatusOr<RowsFeed>> follow(const std::string &, std::uint64_t, Duration)
+    {
+        co_return failed(FailureKind::TableUnreachable, "not used here");
+    }
+
+    void put(std::string key, std::optional<std::string> value)
+    {
+        (void)rows.transact(
+            {.changes = {{.address = {.table = "quarantine", .part = "", .key = std::move(key)}, .value = std::move(value)}}}, now);
+    }
+
+    std::size_t size() const
+    {
+        return rows.read("quarantine", "", now).rows.size();
+    }
+
+    MemoryRows rows;
+    StoreTimeMs now = 5'000'000;
+    int writes = 0;
+    /// An answer that the store gave a while ago and gives again.
+    std::optional<RowsRead> older;
+};
+
+/// One router's part in it.
+struct Router {
+    explicit Router(SharedRows &rows)
+        : guard(loop.get_executor(), metrics)
+        , keeper(rows, guard)
+    {
+    }
+
+    void synchronise()
+    {
+        boost::asio::co_spawn(
+            loop,
+            [this]() -> boost::asio::awaitable<void> {
+                (void)co_await keeper.synchronise();
+            },
+            boost::asio::detached);
+        loop.run();
+        loop.restart();
+    }
+
+    /// Three targets crash with the request under way.
+    void crashThree(const RequestFingerprint &fingerprint)
+    {
+        for (std::uint64_t target = 1; target <= 3; ++target) {
+            guard.peerSawCrash({.target = target, .underWay = {fingerprint}});
+        }
+    }
+
+    boost::asio::io_context loop;
+    Metrics metrics;
+    PoisonGuard guard;
+    QuarantineKeeper<SharedRows> keeper;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(QuarantineKeeperTest)
+
+// All routers lose power after a request has crashed three targets. Those that start know nothing; without the store they would send it on
+// three more times.
+BOOST_AUTO_TEST_CASE(aQuarantineOutlivesTheRouters)
+{
+    SharedRows rows;
+    {
+        Router before(rows);
+        before.crashThree(request("poison"));
+        before.synchronise();
+    }
+    rows.now += 60'000;
+    Router after(rows);
+    after.synchronise();
+    const std::optional<Duration> left = after.guard.heldFor(request("poison"));
+    BOOST_REQUIRE(left.has_value());
+    BOOST_TEST((*left <= std::chrono::minutes(59) && *left > std::chrono::minutes(58)));
+    BOOST_TEST(!after.guard.heldFor(request("other")).has_value());
+}
+
+// Every router comes to the same verdict by its peers' reports; one of them writes it, and nothing is written again.
+BOOST_AUTO_TEST_CASE(oneOfManyRoutersWrites)
+{
+    SharedRows rows;
+    std::vector<std::unique_ptr<Router>> routers;
+    for (int number = 0; number < 5; ++number) {
+        routers.push_back(std::make_unique<Router>(rows));
+        routers.back()->crashThree(request("poison"));
+    }
+    for (int round = 0; round < 3; ++round) {
+        for (const auto &router : routers) {
+            router->synchronise();
+        }
+    }
+    BOOST_TEST(rows.writes == 1);
+}
+
+// A request that was held back by chance is answered after all (a copy was still under way). Its row goes, and so it does on all routers.
+BOOST_AUTO_TEST_CASE(anAcquittalReachesAll)
+{
+    SharedRows rows;
+    Router one(rows);
+    Router other(rows);
+    one.crashThree(request("unlucky"));
+    one.synchronise();
+    one.synchronise();
+    other.synchronise();
+    BOOST_TEST(other.guard.heldFor(request("unlucky")).has_value());
+    one.guard.answered(request("unlucky"));
+    one.synchronise();
+    BOOST_TEST(rows.size() == 0U);
+    other.synchronise();
+    BOOST_TEST(!other.guard.heldFor(request("unlucky")).has_value());
+    one.synchronise();
+    BOOST_TEST(!one.guard.heldFor(request("unlucky")).has_value());
+    BOOST_TEST(one.guard.acquitted().empty());
+}
+
+// The operators have mended the engines and take the row away.
+BOOST_AUTO_TEST_CASE(operatorsLiftIt)
+{
+    SharedRows rows;
+    Router router(rows);
+    router.crashThree(request("poison"));
+    router.synchronise();
+    router.synchronise();
+    rows.put(request("poison").text(), std::nullopt);
+    router.synchronise();
+    BOOST_TEST(!router.guard.heldFor(request("poison")).has_value());
+}
+
+// The store gives an answer from before the row was written, as it may while it rebuilds its history. What the answer lacks is not lifted.
+BOOST_AUTO_TEST_CASE(anOlderAnswerLiftsNothing)
+{
+    SharedRows rows;
+    Router router(rows);
+    const RowsRead before = rows.rows.read("quarantine", "", rows.now);
+    router.crashThree(request("poison"));
+    router.synchronise();
+    router.synchronise();
+    rows.older = before;
+    router.synchronise();
+    BOOST_TEST(router.guard.heldFor(request("poison")).has_value());
+}
+
+// Rows of another writer: whatever stands there, no request is held back for more than a day, and the other rows count.
+BOOST_AUTO_TEST_CASE(spoiltRowsHoldNothingBack)
+{
+    SharedRows rows;
+    for (const char *spoilt :
+         {"", "[]", "{}", "{\"until_ms\":\"x\",\"terms\":1}", "{\"until_ms\":9e99,\"terms\":1}", "{\"until_ms\":5,\"terms\":-1}"}) {
+        rows.put(request(spoilt).text(), spoilt);
+    }
+    rows.put("no fingerprint", "{\"until_ms\":99000000,\"terms\":1}");
+    rows.put(request("far").text(), "{\"until_ms\":9223372036854775807,\"terms\":1}");
+    Router router(rows);
+    router.synchronise();
+    BOOST_REQUIRE(router.guard.quarantine().entries().size() == 1U);
+    BOOST_TEST((router.guard.heldFor(request("far")) <= std::chrono::hours(24)));
+}
+
+// Many different poisonous requests in a day: the store keeps no more of them than a router does.
+BOOST_AUTO_TEST_CASE(rowsAreBounded)
+{
+    SharedRows rows;
+    for (int number = 0; number < 300; ++number) {
+        rows.put(request(std::to_string(number)).text(), toText({.until = rows.now + number, .terms = 1}));
+    }
+    Router router(rows);
+    for (int round = 0; round < 10; ++round) {
+        router.synchronise();
+    }
+    BOOST_TEST(rows.size() == router.guard.quarantine().options().mostEntries);
+    rows.now += std::chrono::milliseconds(std::chrono::hours(25)).count();
+    for (int round = 0; round < 10; ++round) {
+        router.synchronise();
+    }
+    BOOST_TEST(rows.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(anyBytesAreReadOrRefused)
+{
+    std::mt19937 random(20261203);
+    const std::string sound = toText({.until = 12345, .terms = 2});
+    BOOST_TEST((quarantineRowFrom(sound).value() == QuarantineRow{.until = 12345, .terms = 2}));
+    for (int round = 0; round < 5000; ++round) {
+        std::string text = sound;
+        for (unsigned change = random() % 4 + 1; change > 0; --change) {
+            text[random() % text.size()] = static_cast<char>(random());
+        }
+        const absl::StatusOr<QuarantineRow> row = quarantineRowFrom(text);
+        BOOST_TEST((!row.ok() || (row->until >= 0 && row->terms >= 1)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/quarantinetest.cpp
@@ -0,0 +1,211 @@
+#include "quarantine/quarantine.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+using namespace bamboohold;
+
+namespace {
+
+RequestFingerprint request(int number)
+{
+    const std::string body = absl::StrCat(number);
+    return RequestFingerprint::of({.team = "team", .body = body});
+}
+
+Instant at(Duration time)
+{
+    return Instant{} + std::chrono::hours(1) + time;
+}
+
+constexpr Duration s_second = std::chrono::seconds(1);
+
+/// What one router says about one crash.
+struct Report {
+    std::uint64_t target = 0;
+    std::vector<RequestFingerprint> underWay;
+};
+
+std::set<RequestFingerprint> heldAfter(const std::vector<Report> &reports)
+{
+    Quarantine quarantine;
+    Instant now = at({});
+    for (const Report &report : reports) {
+        now += std::chrono::milliseconds(1);
+        quarantine.crashed(report.target, report.underWay, now);
+    }
+    std::set<RequestFingerprint> held;
+    for (const auto &[fingerprint, entry] : quarantine.entries()) {
+        held.insert(fingerprint);
+    }
+    return held;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(QuarantineTest)
+
+// Engines end one after the other under one caller's request, each with other requests under way. The copies come to several routers, and
+// a crash is reported by each router that had something there.
+BOOST_AUTO_TEST_CASE(holdsBackWhatWasThereAtEachCrash)
+{
+    Quarantine quarantine;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        BOOST_TEST(!quarantine.heldFor(request(0), at({})).has_value());
+        const std::vector<RequestFingerprint> underWay{request(0), request(static_cast<int>(target))};
+        quarantine.crashed(target, underWay, at({}));
+        quarantine.crashed(target, underWay, at({}));
+    }
+    BOOST_TEST((quarantine.heldFor(request(0), at({})) == std::chrono::hours(1)));
+    BOOST_TEST(quarantine.entries().size() == 1U);
+    BOOST_TEST(quarantine.mayKnow(request(0).addressHash()));
+}
+
+// A popular request is under way on every engine at any time, so also at each crash of a day on which engines end of something else. It is
+// answered in between, and must not be refused.
+BOOST_AUTO_TEST_CASE(anAnswerAcquits)
+{
+    Quarantine quarantine;
+    for (std::uint64_t target = 1; target <= 12; ++target) {
+        quarantine.crashed(target, std::vector{request(0)}, at({}));
+        if (target % 2 == 0) {
+            BOOST_TEST(quarantine.acquit(request(0)));
+        }
+    }
+    BOOST_TEST(quarantine.entries().empty());
+    BOOST_TEST(!quarantine.acquit(request(0)));
+}
+
+// A caller tries again twice while a poisonous request goes round, and its request is cut twice by chance. The poison is found; much later
+// an engine ends of something else under the same request. Its first two ends are explained, so it is not refused.
+BOOST_AUTO_TEST_CASE(whatThePoisonExplainsDoesNotCountAgainstOthers)
+{
+    Quarantine quarantine;
+    quarantine.crashed(1, std::vector{request(0), request(1)}, at({}));
+    quarantine.crashed(2, std::vector{request(0), request(1)}, at({}));
+    quarantine.crashed(3, std::vector{request(0)}, at({}));
+    BOOST_TEST(quarantine.heldFor(request(0), at({})).has_value());
+    quarantine.crashed(4, std::vector{request(1)}, at(60 * s_second));
+    BOOST_TEST(!quarantine.heldFor(request(1), at(60 * s_second)).has_value());
+    // Three of its own are its own.
+    quarantine.crashed(5, std::vector{request(1)}, at(61 * s_second));
+    quarantine.crashed(6, std::vector{request(1)}, at(62 * s_second));
+    BOOST_TEST(quarantine.heldFor(request(1), at(62 * s_second)).has_value());
+}
+
+// A held request's time is over. The fault may be mended, so it is let through; it crashes one more target and is held back at once, for
+// longer.
+BOOST_AUTO_TEST_CASE(oneMoreCrashAfterItsTimePutsItBack)
+{
+    Quarantine quarantine;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        quarantine.crashed(target, std::vector{request(0)}, at({}));
+    }
+    const Instant over = at(std::chrono::hours(1));
+    BOOST_TEST(!quarantine.heldFor(request(0), over).has_value());
+    quarantine.expire(over);
+    BOOST_TEST(quarantine.crashed(4, std::vector{request(0)}, over).size() == 1U);
+    BOOST_TEST((quarantine.heldFor(request(0), over) == std::chrono::hours(24)));
+    BOOST_TEST(quarantine.entries().at(request(0)).terms == 2U);
+}
+
+// A copy that was under way when its like was first held back crashes its target too: that is no reason for a longer term.
+BOOST_AUTO_TEST_CASE(copiesAlreadyUnderWayChangeNothing)
+{
+    Quarantine quarantine;
+    for (std::uint64_t target = 1; target <= 9; ++target) {
+        quarantine.crashed(target, std::vector{request(0)}, at({}));
+    }
+    BOOST_TEST(quarantine.entries().at(request(0)).terms == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(forgetsWhatIsLongPast)
+{
+    Quarantine quarantine;
+    quarantine.crashed(1, std::vector{request(0)}, at({}));
+    quarantine.crashed(2, std::vector{request(0)}, at({}));
+    quarantine.expire(at(std::chrono::hours(2)));
+    BOOST_TEST(!quarantine.mayKnow(request(0).addressHash()));
+    quarantine.crashed(3, std::vector{request(0)}, at(std::chrono::hours(2)));
+    BOOST_TEST(quarantine.entries().empty());
+}
+
+// A caller sends poison that is another one each time, for as long as it likes: a router's memory must not grow with it.
+BOOST_AUTO_TEST_CASE(memoryIsBounded)
+{
+    Quarantine quarantine;
+    Instant now = at({});
+    for (int number = 0; number < 20'000; ++number) {
+        now += std::chrono::milliseconds(10);
+        const std::size_t crashes = number % 4 == 0 ? 3 : 1;
+        for (std::size_t crash = 0; crash < crashes; ++crash) {
+            quarantine.crashed(static_cast<std::uint64_t>(number) * 4 + crash, std::vector{request(number)}, now);
+        }
+    }
+    BOOST_TEST(quarantine.suspects() <= quarantine.options().mostSuspects);
+    BOOST_TEST(quarantine.suspects() >= quarantine.options().mostSuspects / 2);
+    BOOST_TEST(quarantine.entries().size() == quarantine.options().mostEntries);
+    // The newest are the ones that are kept.
+    BOOST_TEST(quarantine.heldFor(request(19'996), now).has_value());
+}
+
+// A peer's word and the store's: the later term stands, whichever comes first.
+BOOST_AUTO_TEST_CASE(learnsFromOthers)
+{
+    Quarantine quarantine;
+    BOOST_TEST(quarantine.learn(request(0), at(10 * s_second), 2, at({})));
+    BOOST_TEST(!quarantine.learn(request(0), at(5 * s_second), 1, at({})));
+    BOOST_TEST(!quarantine.learn(request(0), at(10 * s_second), 2, at({})));
+    BOOST_TEST((quarantine.heldFor(request(0), at({})) == 10 * s_second));
+    BOOST_TEST(quarantine.learn(request(0), at(99 * s_second), 3, at({})));
+    BOOST_TEST((quarantine.heldFor(request(0), at({})) == 99 * s_second));
+}
+
+BOOST_AUTO_TEST_CASE(spoiltTermsAreBounded)
+{
+    for (const std::int64_t spoilt : {std::numeric_limits<std::int64_t>::max(), std::numeric_limits<std::int64_t>::min()}) {
+        const Duration term = Quarantine::boundedTerm(spoilt);
+        BOOST_TEST((term <= Quarantine::s_longestTerm && term >= -Quarantine::s_longestTerm));
+    }
+    BOOST_TEST((Quarantine::boundedTerm(1500) == std::chrono::milliseconds(1500)));
+}
+
+// Reports of the same crashes reach each router in an order of its own, some twice. All hold back the same requests: those that were under
+// way at three crashes or more.
+BOOST_AUTO_TEST_CASE(routersAgreeWhateverTheOrderOfReports)
+{
+    const bool held = rc::check("the verdict follows from the set of reports", [] {
+        const auto count = *rc::gen::inRange(1, 12);
+        std::vector<Report> reports;
+        std::map<RequestFingerprint, std::set<std::uint64_t>> seen;
+        for (int number = 0; number < count; ++number) {
+            Report report{.target = static_cast<std::uint64_t>(*rc::gen::inRange(1, 6))};
+            for (const int fingerprint : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5))) {
+                report.underWay.push_back(request(fingerprint));
+                seen[request(fingerprint)].insert(report.target);
+            }
+            reports.push_back(report);
+        }
+        std::set<RequestFingerprint> expected;
+        for (const auto &[fingerprint, targets] : seen) {
+            if (targets.size() >= 3) {
+                expected.insert(fingerprint);
+            }
+        }
+        std::vector<Report> shuffled = reports;
+        shuffled.insert(shuffled.end(), reports.begin(), reports.end());
+        std::ranges::shuffle(shuffled, std::mt19937(static_cast<unsigned>(*rc::gen::inRange(0, 10'000))));
+        RC_ASSERT(heldAfter(reports) == expected);
+        RC_ASSERT(heldAfter(shuffled) == expected);
+    });
+    BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/requestfingerprinttest.cpp
+++ b/src/tests/requestfingerprinttest.cpp
@@ -21,7 +21,9 @@
     BOOST_TEST((RequestFingerprint::of(source) == RequestFingerprint::of(source)));
     for (const FingerprintSource &other : others) {
         BOOST_TEST((RequestFingerprint::of(source) != RequestFingerprint::of(other)));
+        BOOST_TEST((RequestFingerprint::addressHash(source) == RequestFingerprint::addressHash(other)) == (source.body != other.body));
     }
+    BOOST_TEST(RequestFingerprint::of(source).addressHash() == RequestFingerprint::addressHash(source));
 }
 
 // A team could otherwise move letters from one field to the next until its request had the fingerprint of another one.
@@ -36,7 +38,7 @@
     BOOST_TEST((RequestFingerprint::fromText(fingerprint.text()) == fingerprint));
     BOOST_TEST((RequestFingerprint::fromBytes(fingerprint.bytes()) == fingerprint));
     for (const std::string &spoilt :
-         {std::string(), std::string("12"), std::string(32, 'g'), std::string(32, 'A'), fingerprint.text() + "00", std::string(16, '\0')}) {
+         {std::string(), std::string("12"), std::string(48, 'g'), std::string(48, 'A'), fingerprint.text() + "00", std::string(24, '\0')}) {
         BOOST_TEST(!RequestFingerprint::fromText(spoilt).has_value());
     }
     BOOST_TEST(!RequestFingerprint::fromBytes("short").has_value());
