A target is asked again whether it still listens: its port may close after its connections

Cause, as far as a test of our own shows: a router asked a target once, within a millisecond of its connections' end, and took it for alive if its port was still open. Change: asked after 0, 100, 500 and 1,500 ms; nothing is reported of a target that is expected to end, then either.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,9 @@
     , m_becameReady(m_executor)
     , m_random(m_options.seed)
 {
+    m_guard.setExpectedToEnd([this](const std::string &incarnation) {
+        return m_board.expectedToEnd(incarnation);
+    });
 }
 
 asio::awaitable<void> Gateway::handle(HttpExchange &exchange)
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -579,8 +579,7 @@
 
 void RequestRun::noteBreakOff(AttemptEnd end)
 {
-    const bool brokeOff = m_brokeOff && end == AttemptEnd::Broken && m_gateway.m_options.quarantines;
-    if (brokeOff && !m_gateway.m_board.expectedToEnd(m_placement->incarnation)) {
+    if (m_brokeOff && end == AttemptEnd::Broken && m_gateway.m_options.quarantines) {
         m_gateway.m_guard.brokeOff(m_placement->incarnation, m_placement->address, fingerprint());
     }
 }
--- a/src/quarantine/crashwatch.h
+++ b/src/quarantine/crashwatch.h
@@ -13,7 +13,8 @@
 /// Tells crashes of targets from everything else that breaks an answer off, and knows what this router had under way there.
 ///
 /// Pure. A connection that ends early says little: answers get lost, connections are reset, a host loses power. Only a target that refuses
-/// new connections right afterwards has ended, so it is asked; one that accepts, or does not answer at all, has not crashed of a request.
+/// new connections soon afterwards has ended, so it is asked a few times; one that goes on accepting, or does not answer at all, has not
+/// crashed of a request.
 class CrashWatch
 {
 public:
@@ -21,7 +22,7 @@
     enum class Step {
         /// The target is being asked.
         Wait,
-        /// Open a connection to the target, and tell `refused` or `alive`.
+        /// Ask the target for connections from now on, and tell `refused` or `alive`.
         Ask,
         /// The target has crashed: report this request as well.
         Report,
--- a/src/quarantine/poisonguard.cpp
+++ b/src/quarantine/poisonguard.cpp
@@ -13,6 +13,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <array>
+
 namespace bamboohold {
 
 namespace {
@@ -20,6 +22,11 @@
 constexpr auto s_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 /// A host without power answers nothing at all.
 constexpr Duration s_askTimeout = std::chrono::milliseconds(250);
+/// Pauses before a target is asked whether it still listens. The connections of a process that crashes may close some time before its port
+/// does: asked only at once, it would be taken for alive. The last one leaves time to tell the peers well before a change has to be known
+/// everywhere.
+constexpr std::array<Duration, 4> s_askPauses{
+    Duration::zero(), std::chrono::milliseconds(100), std::chrono::milliseconds(400), std::chrono::milliseconds(1000)};
 /// The ends of all attempts at a target that crashed are taken together, so that each peer is told once.
 constexpr Duration s_gatherTime = std::chrono::milliseconds(20);
 
@@ -34,11 +41,19 @@
     : m_executor(std::move(executor))
     , m_metrics(metrics)
     , m_decided(m_executor)
+    , m_expectedToEnd([](const std::string &) {
+        return false;
+    })
     , m_tellCrash([](const CrashReport &) {})
     , m_tellChange([](const QuarantineChange &) {})
 {
 }
 
+void PoisonGuard::setExpectedToEnd(std::function<bool(const std::string &)> expectedToEnd)
+{
+    m_expectedToEnd = std::move(expectedToEnd);
+}
+
 void PoisonGuard::setAnnouncers(std::function<void(const CrashReport &)> crash, std::function<void(const QuarantineChange &)> change)
 {
     m_tellCrash = std::move(crash);
@@ -47,11 +62,14 @@
 
 void PoisonGuard::brokeOff(const std::string &incarnation, const std::string &address, const RequestFingerprint &fingerprint)
 {
+    if (m_expectedToEnd(incarnation)) {
+        return;
+    }
     switch (m_watch.brokeOff(incarnation, fingerprint, steadyNow())) {
     case CrashWatch::Step::Wait:
         break;
     case CrashWatch::Step::Ask:
-        boost::asio::co_spawn(m_executor, ask(incarnation, address), boost::asio::detached);
+        boost::asio::co_spawn(m_executor, watch(incarnation, address), boost::asio::detached);
         break;
     case CrashWatch::Step::Report:
         report(incarnation, {fingerprint});
@@ -59,18 +77,32 @@
     }
 }
 
-boost::asio::awaitable<void> PoisonGuard::ask(std::string incarnation, std::string address)
+boost::asio::awaitable<void> PoisonGuard::watch(std::string incarnation, std::string address)
+{
+    for (const Duration wait : s_askPauses) {
+        if (wait > Duration::zero()) {
+            co_await pause(wait);
+        }
+        if (m_expectedToEnd(incarnation)) {
+            break;
+        }
+        const bool refused = co_await refuses(address);
+        if (refused) {
+            co_await pause(s_gatherTime);
+            report(incarnation, m_watch.refused(incarnation));
+            co_return;
+        }
+    }
+    m_watch.alive(incarnation);
+}
+
+boost::asio::awaitable<bool> PoisonGuard::refuses(std::string address)
 {
     boost::beast::tcp_stream stream(m_executor);
     stream.expires_after(s_askTimeout);
     const auto endpoint = endpointFrom(address).value_or(boost::asio::ip::tcp::endpoint());
     const auto [error] = co_await stream.async_connect(endpoint, s_tuple);
-    if (error != boost::asio::error::connection_refused) {
-        m_watch.alive(incarnation);
-        co_return;
-    }
-    co_await pause(s_gatherTime);
-    report(incarnation, m_watch.refused(incarnation));
+    co_return error == boost::asio::error::connection_refused;
 }
 
 void PoisonGuard::report(const std::string &incarnation, std::vector<RequestFingerprint> underWay)
--- a/src/quarantine/poisonguard.h
+++ b/src/quarantine/poisonguard.h
@@ -42,10 +42,13 @@
 public:
     PoisonGuard(boost::asio::any_io_executor executor, Metrics &metrics);
 
+    /// Who knows whether a target is about to leave: its end is nobody's fault.
+    void setExpectedToEnd(std::function<bool(const std::string &incarnation)> expectedToEnd);
+
     /// Who tells the peers.
     void setAnnouncers(std::function<void(const CrashReport &)> crash, std::function<void(const QuarantineChange &)> change);
 
-    /// An attempt at a target that was not about to leave broke off.
+    /// An attempt at a target broke off.
     void brokeOff(const std::string &incarnation, const std::string &address, const RequestFingerprint &fingerprint);
 
     /// A request was answered whole.
@@ -88,7 +91,8 @@
     }
 
 private:
-    boost::asio::awaitable<void> ask(std::string incarnation, std::string address);
+    boost::asio::awaitable<void> watch(std::string incarnation, std::string address);
+    boost::asio::awaitable<bool> refuses(std::string address);
     void report(const std::string &incarnation, std::vector<RequestFingerprint> underWay);
     void count() const;
 
@@ -98,6 +102,7 @@
     Quarantine m_quarantine;
     std::set<RequestFingerprint> m_acquitted;
     Signal m_decided;
+    std::function<bool(const std::string &)> m_expectedToEnd;
     std::function<void(const CrashReport &)> m_tellCrash;
     std::function<void(const QuarantineChange &)> m_tellChange;
 };
--- a/src/tests/poisonrequesttest.cpp
+++ b/src/tests/poisonrequesttest.cpp
@@ -186,6 +186,14 @@
         co_return answer;
     }
 
+    /// Targets that crash refuse connections only after this long.
+    void lingerAfterCrashes(Duration lingering)
+    {
+        for (const auto &target : m_targets) {
+            target->lingerAfterCrash(lingering);
+        }
+    }
+
     /// The target that such a request reaches next crashes.
     void crashNextOn(const std::string &text)
     {
@@ -254,6 +262,26 @@
     BOOST_TEST(scene.crashed() == s_mostCrashed);
 }
 
+// The same with targets whose connections close some time before their port does, as when the system takes connections until a crashed
+// process is cleared away. A router that asked once, at once, was told that the target lives, and held nothing against the request.
+BOOST_AUTO_TEST_CASE(aTargetMayRefuseConnectionsOnlyAfterAWhile)
+{
+    Scene scene;
+    scene.lingerAfterCrashes(s_spreadTime / 10);
+    scene.play([&]() -> asio::awaitable<void> {
+        co_await pause(s_spreadTime);
+        for (std::size_t copy = 0; copy < s_mostCrashed; ++copy) {
+            co_await scene.send(copy % s_routers, draftRequest(absl::StrCat("early-", copy), s_poison));
+            co_await pause(s_spreadTime);
+        }
+        for (std::size_t router = 0; router < s_routers; ++router) {
+            const std::string answer = co_await scene.send(router, draftRequest(absl::StrCat("late-", router), s_poison));
+            BOOST_TEST(answer.starts_with("HTTP/1.1 503 "), answer);
+        }
+    });
+    BOOST_TEST(scene.crashed() == s_mostCrashed);
+}
+
 // The caller of a poisonous request has others too, and so have its fellows: they did nothing, and are served as before, on targets that
 // are left.
 BOOST_AUTO_TEST_CASE(otherRequestsOfTheSameCallerAreServed)
--- a/src/tests/scriptedpeer.cpp
+++ b/src/tests/scriptedpeer.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -53,10 +54,19 @@
     return m_address;
 }
 
-void ScriptedPeer::crash()
+void ScriptedPeer::crash(Duration lingering)
 {
     m_crashed = true;
-    m_acceptor.close();
+    if (lingering == Duration::zero()) {
+        m_acceptor.close();
+    } else {
+        const auto timer = std::make_shared<asio::steady_timer>(m_acceptor.get_executor(), lingering);
+        timer->async_wait([this, timer](const boost::system::error_code &error) {
+            if (!error) {
+                m_acceptor.close();
+            }
+        });
+    }
     for (asio::ip::tcp::socket *socket : *m_sockets) {
         socket->close();
     }
@@ -96,7 +106,7 @@
         m_requests.push_back(bytes.substr(0, size));
         bytes.erase(0, size);
         if (!m_lethalText.empty() && m_requests.back().find(m_lethalText) != std::string::npos) {
-            crash();
+            crash(m_lingering);
             co_return;
         }
         co_await asio::async_write(socket, asio::buffer(action.bytes), s_tuple);
--- a/src/tests/scriptedpeer.h
+++ b/src/tests/scriptedpeer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clock/instant.h"
 #include "net/workerpool.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -47,8 +48,14 @@
         m_lethalText = std::move(text);
     }
 
-    /// Ends at once: every connection is closed, and new ones are refused.
-    void crash();
+    /// Ends: every connection is closed, and new ones are refused, at once or after a while in which the system still takes them.
+    void crash(Duration lingering = Duration::zero());
+
+    /// Crashes refuse new connections only after this long.
+    void lingerAfterCrash(Duration lingering)
+    {
+        m_lingering = lingering;
+    }
 
     /// True after a crash.
     bool crashed() const
@@ -82,6 +89,7 @@
     std::string m_address;
     std::string m_lethalText;
     bool m_crashed = false;
+    Duration m_lingering{};
     /// Those that are open. Shared, because the loop may end its coroutines after the peer is gone.
     std::shared_ptr<std::set<boost::asio::ip::tcp::socket *>> m_sockets = std::make_shared<std::set<boost::asio::ip::tcp::socket *>>();
     std::vector<PeerAction> m_script;
