Only a success acquits a request that is suspected of crashing targets

Symptom: found by reading; a target's answer below 500, a conflict or a refusal of its own, counted as a whole answer. Cause: 'delivered' means that the caller has the target's answer, whatever it says; only a success says that the request ran to its end. Change: an answer acquits if its status is a success. Test: aFailureDoesNotAcquit, red before (the fourth copy was sent on), green after.

--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -251,7 +251,8 @@
         ++m_ran;
     }
     noteBreakOff(end);
-    if (end == AttemptEnd::Delivered) {
+    // A failure that a target answers may come before it begins to run the request: it proves nothing.
+    if (end == AttemptEnd::Delivered && m_succeeded) {
         noteAnswered();
     }
     if (end != AttemptEnd::Delivered && end != AttemptEnd::CallerLeft) {
@@ -370,6 +371,7 @@
         co_return AttemptEnd::NotRun;
     }
     const bool success = status >= s_firstSuccess && status < s_firstRedirect;
+    m_succeeded = success;
     if (answer.altered || (success && !answer.sealed)) {
         m_lastProblem = answer.altered ? "the body is encoded" : "no seal";
         m_sign = TargetSign::Failing;
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -122,6 +122,8 @@
     bool m_attemptBegun = false;
     /// When the running attempt was sent, or the last bytes of it came.
     Instant m_lastHeard{};
+    /// The running attempt's answer says that the request was served.
+    bool m_succeeded = false;
     /// The running attempt lost its connection before its answer was whole.
     bool m_brokeOff = false;
     /// What the last attempt tells of its target.
--- a/src/tests/poisonrequesttest.cpp
+++ b/src/tests/poisonrequesttest.cpp
@@ -186,6 +186,14 @@
         co_return answer;
     }
 
+    /// All targets answer so from now on.
+    void answerAllWith(const std::string &bytes)
+    {
+        for (const auto &target : m_targets) {
+            target->answerWith({{.bytes = bytes}});
+        }
+    }
+
     /// Targets that crash refuse connections only after this long.
     void lingerAfterCrashes(Duration lingering)
     {
@@ -282,6 +290,26 @@
     BOOST_TEST(scene.crashed() == s_mostCrashed);
 }
 
+// A target that is short of something answers a copy with a failure of its own, before it begins to run it. That must not clear the
+// request: each copy that is let pass then crashes a target.
+BOOST_AUTO_TEST_CASE(aFailureDoesNotAcquit)
+{
+    Scene scene;
+    scene.play([&]() -> asio::awaitable<void> {
+        co_await pause(s_spreadTime);
+        for (std::size_t copy = 0; copy < s_mostCrashed; ++copy) {
+            co_await scene.send(copy, draftRequest(absl::StrCat("early-", copy), s_poison));
+            scene.answerAllWith(wholeAnswer(409, "X-Seal: s\r\n", "not now"));
+            scene.crashNextOn("nothing");
+            co_await pause(s_spreadTime / 5);
+            const std::string answer = co_await scene.send(copy, draftRequest(absl::StrCat("declined-", copy), s_poison));
+            BOOST_TEST(answer.starts_with(copy + 1 < s_mostCrashed ? "HTTP/1.1 409 " : "HTTP/1.1 503 "), answer);
+            scene.crashOnPoisonOnly();
+        }
+    });
+    BOOST_TEST(scene.crashed() == s_mostCrashed);
+}
+
 // The caller of a poisonous request has others too, and so have its fellows: they did nothing, and are served as before, on targets that
 // are left.
 BOOST_AUTO_TEST_CASE(otherRequestsOfTheSameCallerAreServed)
--- a/src/tests/scriptedpeer.h
+++ b/src/tests/scriptedpeer.h
@@ -42,6 +42,12 @@
     /// Its address as ADDRESS:PORT.
     std::string address() const;
 
+    /// Another script from now on.
+    void answerWith(std::vector<PeerAction> script)
+    {
+        m_script = std::move(script);
+    }
+
     /// A request with this text in it crashes the peer as soon as it has come.
     void crashOn(std::string text)
     {
