Half of all requests that crash targets were held back in vain: fingerprints are ordered by unsigned bytes

Cause: whether anything is known of a request's address is looked up by the first bytes of fingerprints, in a map ordered by signed bytes. The lookup begins at the digest that is all zeros; digests whose first byte is 128 or more stood before it and were not found, so their requests were sent on. Change: the order goes by unsigned bytes. Why it holds: the eight address bytes come first, and no fingerprint of an address is less than its zeros. The test that was written first had one text, whose digest happened to be found.

--- a/src/quarantine/requestfingerprint.h
+++ b/src/quarantine/requestfingerprint.h
@@ -53,7 +53,8 @@
     bool operator==(const RequestFingerprint &) const = default;
     bool operator<(const RequestFingerprint &other) const
     {
-        return m_bytes < other.m_bytes;
+        // By unsigned bytes: those of one address stand together, from the one whose digest is all zeros on.
+        return bytes() < other.bytes();
     }
 
 private:
--- a/src/tests/quarantinetest.cpp
+++ b/src/tests/quarantinetest.cpp
@@ -68,6 +68,22 @@
     BOOST_TEST(quarantine.mayKnow(request(0).addressHash()));
 }
 
+// On the recorded day a request that had crashed three targets was sent on nine more times, twice over, although it was held back: whether
+// anything is known of an address is looked up by the first bytes of fingerprints, and half of all fingerprints stood elsewhere in the
+// order, because bytes of 128 and more counted as negative.
+BOOST_AUTO_TEST_CASE(whatIsHeldIsFoundWhateverItsBytes)
+{
+    for (int number = 0; number < 200; ++number) {
+        Quarantine quarantine;
+        quarantine.crashed(1, std::vector{request(number)}, at({}));
+        BOOST_TEST(quarantine.mayKnow(request(number).addressHash()), number);
+        quarantine.crashed(2, std::vector{request(number)}, at({}));
+        quarantine.crashed(3, std::vector{request(number)}, at({}));
+        BOOST_TEST(quarantine.heldFor(request(number), at({})).has_value());
+        BOOST_TEST(quarantine.mayKnow(request(number).addressHash()), number);
+    }
+}
+
 // A popular request is under way on every engine at any time, so also at each crash of a day on which engines end of something else. It is
 // answered in between, and must not be refused.
 BOOST_AUTO_TEST_CASE(anAnswerAcquits)
