--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -25,8 +25,10 @@
     struct Options {
         /// Crashes in a row after which a request is held back.
         std::size_t crashes = 3;
-        /// How long it is held back at first, and again once it has crashed another target after that.
-        Duration firstTerm = std::chrono::hours(1);
+        /// How long it is held back at first, and again once it has crashed another target after that. The first term is short because
+        /// chance can bring a request here: where many targets crash of something else, a caller that tries again and again may be cut
+        /// three times. It is served then; a request that is the cause costs one target more.
+        Duration firstTerm = std::chrono::minutes(10);
         Duration laterTerm = s_longestTerm;
         /// A crash is remembered for this long.
         Duration memory = std::chrono::hours(1);
