What an impatient caller has just left counts when its target crashes

Cause: a caller that leaves has its request broken off from the router's side. The target may go on with it for a moment and crash, and no connection of that request is left to end. Requests of impatient callers would crash targets without ever being there at a crash. Ruled out: asking a target each time a caller leaves (a few in a hundred requests, four connections each). Change: CrashWatch remembers for a second what was left at which target; it counts when this router's other connections there end, or a peer reports the crash. A request that is not broken off when its caller leaves, because it may not run twice, counts like any other when its connection ends. Figures: CrashWatchTest/whatWasJustLeftCounts and ...ByAPeersWord (new interface, so not run before).

--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -351,7 +351,7 @@
         end = endOf(started);
         m_lastProblem = std::string(started.message());
         m_sent += end == AttemptEnd::NotRun ? 0 : 1;
-        m_brokeOff = true;
+        m_brokeOff = !call.cancelled();
         m_sign = m_callerLeft ? TargetSign::Neutral : TargetSign::Broken;
     }
     m_call = nullptr;
@@ -391,7 +391,7 @@
 {
     m_lastProblem = std::string(status.message());
     m_sign = m_callerLeft ? TargetSign::Neutral : TargetSign::Failing;
-    m_brokeOff = true;
+    m_brokeOff = !m_call->cancelled();
     return endOf(status);
 }
 
@@ -581,8 +581,13 @@
 
 void RequestRun::noteBreakOff(AttemptEnd end)
 {
-    if (m_brokeOff && end == AttemptEnd::Broken && m_gateway.m_options.quarantines) {
+    if (!m_gateway.m_options.quarantines) {
+        return;
+    }
+    if (m_brokeOff && end != AttemptEnd::NotRun && end != AttemptEnd::TimedOut) {
         m_gateway.m_guard.brokeOff(m_placement->incarnation, m_placement->address, fingerprints());
+    } else if (end == AttemptEnd::CallerLeft) {
+        m_gateway.m_guard.left(m_placement->incarnation, fingerprints());
     }
 }
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -138,6 +138,12 @@
     /// Closes the connection, which tells the peer to stop. A pending start or read ends with a failure.
     void cancel();
 
+    /// True after cancel(): the peer did not break the answer off.
+    bool cancelled() const
+    {
+        return m_cancelled;
+    }
+
 private:
     using Parser = http::response_parser<http::buffer_body>;
 
--- a/src/quarantine/crashwatch.cpp
+++ b/src/quarantine/crashwatch.cpp
@@ -1,5 +1,8 @@
 #include "quarantine/crashwatch.h"
 
+#include "routing/stablehash.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace bamboohold {
@@ -11,6 +14,10 @@
 constexpr Duration s_memory = std::chrono::seconds(10);
 /// Fingerprints reported of one crash; more than an engine works on at one time.
 constexpr std::size_t s_mostUnderWay = 1024;
+/// A target notices within this time that nobody waits for a request any more, and drops it.
+constexpr Duration s_leftMemory = std::chrono::seconds(1);
+/// Requests remembered for each target that were broken off from this side.
+constexpr std::size_t s_mostLeft = 64;
 
 }
 
@@ -28,11 +35,40 @@
     return first ? Step::Ask : Step::Wait;
 }
 
-std::vector<RequestFingerprint> CrashWatch::refused(const std::string &incarnation)
+void CrashWatch::left(const std::string &incarnation, const FingerprintPair &fingerprints, Instant now)
+{
+    std::vector<Left> &left = m_left[stableHash(incarnation)];
+    if (left.size() < s_mostLeft) {
+        left.push_back({.fingerprints = fingerprints, .at = now});
+    }
+}
+
+void CrashWatch::takeLeft(std::vector<Left> &left, std::vector<RequestFingerprint> &into, Instant now)
+{
+    for (const Left &request : std::exchange(left, {})) {
+        if (now - request.at <= s_leftMemory) {
+            into.insert(into.end(), request.fingerprints.begin(), request.fingerprints.end());
+        }
+    }
+}
+
+std::vector<RequestFingerprint> CrashWatch::refused(const std::string &incarnation, Instant now)
 {
     Broken &broken = m_targets[incarnation];
     broken.crashed = true;
-    return std::exchange(broken.fingerprints, {});
+    std::vector<RequestFingerprint> underWay = std::exchange(broken.fingerprints, {});
+    // What was broken off counts up to the crash, which the others' ends tell.
+    takeLeft(m_left[stableHash(incarnation)], underWay, std::min(now, broken.last));
+    return underWay;
+}
+
+std::vector<RequestFingerprint> CrashWatch::crashedElsewhere(std::uint64_t target, Instant now)
+{
+    std::vector<RequestFingerprint> underWay;
+    if (const auto found = m_left.find(target); found != m_left.end()) {
+        takeLeft(found->second, underWay, now);
+    }
+    return underWay;
 }
 
 void CrashWatch::alive(const std::string &incarnation)
@@ -45,6 +81,9 @@
     std::erase_if(m_targets, [&](const auto &target) {
         return target.second.crashed && now - target.second.last > s_memory;
     });
+    std::erase_if(m_left, [&](const auto &target) {
+        return target.second.empty() || now - target.second.back().at > s_leftMemory;
+    });
 }
 
 }
--- a/src/quarantine/crashwatch.h
+++ b/src/quarantine/crashwatch.h
@@ -3,6 +3,7 @@
 #include "clock/instant.h"
 #include "quarantine/requestfingerprint.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,8 +32,14 @@
     /// An attempt at this life of a target broke off.
     Step brokeOff(const std::string &incarnation, const FingerprintPair &fingerprints, Instant now);
 
-    /// The target refuses connections. Returns what broke off there.
-    std::vector<RequestFingerprint> refused(const std::string &incarnation);
+    /// A caller left, so its request was broken off from this side. The target may go on with it for a moment, and crash.
+    void left(const std::string &incarnation, const FingerprintPair &fingerprints, Instant now);
+
+    /// The target refuses connections. Returns what was under way there.
+    std::vector<RequestFingerprint> refused(const std::string &incarnation, Instant now);
+
+    /// A peer saw the target crash, named by the hash of its incarnation. Returns what this router had broken off there a moment ago.
+    std::vector<RequestFingerprint> crashedElsewhere(std::uint64_t target, Instant now);
 
     /// The target accepts connections, or nothing can be said of it.
     void alive(const std::string &incarnation);
@@ -47,7 +54,17 @@
         Instant last{};
     };
 
+    /// A request that was broken off from this side.
+    struct Left {
+        FingerprintPair fingerprints;
+        Instant at{};
+    };
+
+    static void takeLeft(std::vector<Left> &left, std::vector<RequestFingerprint> &into, Instant now);
+
     std::map<std::string, Broken> m_targets;
+    /// By the hash of the target's incarnation.
+    std::map<std::uint64_t, std::vector<Left>> m_left;
 };
 
 }
--- a/src/quarantine/poisonguard.cpp
+++ b/src/quarantine/poisonguard.cpp
@@ -73,7 +73,7 @@
         boost::asio::co_spawn(m_executor, watch(incarnation, address), boost::asio::detached);
         break;
     case CrashWatch::Step::Report:
-        report(incarnation, {fingerprints.begin(), fingerprints.end()});
+        report({.target = stableHash(incarnation), .underWay = {fingerprints.begin(), fingerprints.end()}}, incarnation);
         break;
     }
 }
@@ -90,7 +90,7 @@
         const bool refused = co_await refuses(address);
         if (refused) {
             co_await pause(s_gatherTime);
-            report(incarnation, m_watch.refused(incarnation));
+            report({.target = stableHash(incarnation), .underWay = m_watch.refused(incarnation, steadyNow())}, incarnation);
             co_return;
         }
     }
@@ -106,11 +106,14 @@
     co_return error == boost::asio::error::connection_refused;
 }
 
-void PoisonGuard::report(const std::string &incarnation, std::vector<RequestFingerprint> underWay)
+void PoisonGuard::left(const std::string &incarnation, const FingerprintPair &fingerprints)
 {
-    const CrashReport crash{.target = stableHash(incarnation), .underWay = std::move(underWay)};
-    logLine(
-        Severity::Warning, "target.crashed", {{"target", incarnation}, {"under_way", static_cast<std::int64_t>(crash.underWay.size())}});
+    m_watch.left(incarnation, fingerprints, steadyNow());
+}
+
+void PoisonGuard::report(const CrashReport &crash, std::string_view target)
+{
+    logLine(Severity::Warning, "target.crashed", {{"target", target}, {"under_way", static_cast<std::int64_t>(crash.underWay.size())}});
     m_metrics.count("crash_reports_total", {.name = "from", .value = "here"});
     m_tellCrash(crash);
     const Instant now = steadyNow();
@@ -119,7 +122,7 @@
         logLine(Severity::Warning,
                 "request.quarantined",
                 {{"fingerprint", fingerprint.text()},
-                 {"target", incarnation},
+                 {"target", target},
                  {"crashes", static_cast<std::int64_t>(entry.targets.size())},
                  {"for_s", inSeconds(entry.until - now)}});
         m_tellChange({.fingerprint = fingerprint, .remaining = entry.until - now, .terms = entry.terms});
@@ -164,6 +167,9 @@
 void PoisonGuard::peerSawCrash(const CrashReport &report)
 {
     m_metrics.count("crash_reports_total", {.name = "from", .value = "peer"});
+    if (std::vector<RequestFingerprint> left = m_watch.crashedElsewhere(report.target, steadyNow()); !left.empty()) {
+        this->report({.target = report.target, .underWay = std::move(left)}, "one that a peer saw crash");
+    }
     // Whoever saw the crash that decides it tells the others and the store; here it is only believed sooner.
     for (const RequestFingerprint &fingerprint : m_quarantine.crashed(report.target, report.underWay, steadyNow())) {
         logLine(Severity::Warning, "request.quarantined", {{"fingerprint", fingerprint.text()}, {"by", "peers' reports"}});
--- a/src/quarantine/poisonguard.h
+++ b/src/quarantine/poisonguard.h
@@ -51,6 +51,9 @@
     /// An attempt at a target broke off.
     void brokeOff(const std::string &incarnation, const std::string &address, const FingerprintPair &fingerprints);
 
+    /// A caller left while its request was under way at a target.
+    void left(const std::string &incarnation, const FingerprintPair &fingerprints);
+
     /// A request was answered whole.
     void answered(const FingerprintPair &fingerprints);
 
@@ -93,7 +96,7 @@
 private:
     boost::asio::awaitable<void> watch(std::string incarnation, std::string address);
     boost::asio::awaitable<bool> refuses(std::string address);
-    void report(const std::string &incarnation, std::vector<RequestFingerprint> underWay);
+    void report(const CrashReport &crash, std::string_view target);
     void acquit(const RequestFingerprint &fingerprint);
     void count() const;
 
--- a/src/tests/crashwatchtest.cpp
+++ b/src/tests/crashwatchtest.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/crashwatch.h"
 
+#include "routing/stablehash.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <string>
@@ -39,7 +41,7 @@
     BOOST_TEST((watch.brokeOff("target", request("a"), s_now) == Step::Ask));
     BOOST_TEST((watch.brokeOff("target", request("b"), s_now) == Step::Wait));
     BOOST_TEST((watch.brokeOff("other", request("c"), s_now) == Step::Ask));
-    BOOST_TEST((watch.refused("target") == all({request("a"), request("b")})));
+    BOOST_TEST((watch.refused("target", s_now) == all({request("a"), request("b")})));
     BOOST_TEST((watch.brokeOff("target", request("d"), s_now) == Step::Report));
 }
 
@@ -51,14 +53,38 @@
     watch.brokeOff("target", request("a"), s_now);
     watch.alive("target");
     BOOST_TEST((watch.brokeOff("target", request("b"), s_now) == Step::Ask));
-    BOOST_TEST((watch.refused("target") == all({request("b")})));
+    BOOST_TEST((watch.refused("target", s_now) == all({request("b")})));
+}
+
+// Callers leave soon, and their requests are broken off from here; the target crashes a moment later of one of them. Without these, the
+// requests of an impatient caller were never seen at a crash.
+BOOST_AUTO_TEST_CASE(whatWasJustLeftCounts)
+{
+    CrashWatch watch;
+    watch.left("target", request("long ago"), s_now - std::chrono::seconds(5));
+    watch.left("target", request("just now"), s_now - std::chrono::milliseconds(300));
+    watch.left("other", request("elsewhere"), s_now);
+    watch.brokeOff("target", request("a"), s_now);
+    // The target is found to refuse connections a while after its crash.
+    BOOST_TEST((watch.refused("target", s_now + std::chrono::seconds(2)) == all({request("a"), request("just now")})));
+    BOOST_TEST(watch.refused("target", s_now + std::chrono::seconds(2)).empty());
+}
+
+// The router had nothing else at that target, so no end of its own tells of the crash; a peer does.
+BOOST_AUTO_TEST_CASE(whatWasJustLeftCountsByAPeersWord)
+{
+    CrashWatch watch;
+    watch.left("target", request("a"), s_now);
+    BOOST_TEST(watch.crashedElsewhere(stableHash("other"), s_now).empty());
+    BOOST_TEST((watch.crashedElsewhere(stableHash("target"), s_now + std::chrono::milliseconds(200)) == all({request("a")})));
+    BOOST_TEST(watch.crashedElsewhere(stableHash("target"), s_now + std::chrono::milliseconds(200)).empty());
 }
 
 BOOST_AUTO_TEST_CASE(oldCrashesAreForgotten)
 {
     CrashWatch watch;
     watch.brokeOff("target", request("a"), s_now);
-    watch.refused("target");
+    watch.refused("target", s_now);
     watch.expire(s_now + std::chrono::minutes(1));
     BOOST_TEST((watch.brokeOff("target", request("b"), s_now + std::chrono::minutes(1)) == Step::Ask));
 }
