--- a/src/measure/capacity.cpp
+++ b/src/measure/capacity.cpp
@@ -2,6 +2,7 @@
 #include "budget/nodeledger.h"
 #include "configuration/configuration.h"
 #include "engine/runtable.h"
+#include "gateway/targetboard.h"
 #include "inventory/teamkey.h"
 #include "link/link.pb.h"
 #include "membership/peerdirectory.h"
@@ -185,6 +186,46 @@
     print("router time for one choice", "targets", "microseconds", choosing);
 }
 
+/// The board of a router without sidecars, with a service of 21 models' size: all targets serve one, which is the worst case.
+void measureBoard()
+{
+    constexpr int parts = 3;
+    constexpr int choices = 200;
+    std::vector<Point> bytes;
+    std::vector<Point> choosing;
+    for (const int targets : {50, 100, 200, 400, 870}) {
+        const double before = heapBytes();
+        auto board = std::make_unique<TargetBoard>(TargetBoard::Options{.failureDomain = "domain-0"});
+        std::vector<TargetListing> listings;
+        for (int index = 0; index < targets; ++index) {
+            listings.push_back({.incarnation = numbered("target-0123456789abcdef-", index),
+                                .service = "drafting",
+                                .address = numbered("10.0.0.1:", index),
+                                .failureDomain = numbered("domain-", index % 10),
+                                .relay = numbered("10.0.0.2:", index),
+                                .slots = 32});
+        }
+        board->setAll(std::move(listings), s_now);
+        const double taken = heapBytes() - before;
+        std::uint64_t draw = 0;
+        const double all = microseconds([&] {
+            for (int choice = 0; choice < choices; ++choice) {
+                std::vector<PromptPart> prompt;
+                for (int part = 0; part < parts; ++part) {
+                    prompt.push_back({.id = ++draw, .tokens = 500});
+                }
+                const PlacementWish wish{.service = "drafting", .prompt = prompt, .draw = draw};
+                (void)board->candidates(wish, 3, s_now);
+                (void)board->choose(wish, s_now);
+            }
+        });
+        bytes.push_back({static_cast<double>(targets), taken});
+        choosing.push_back({static_cast<double>(targets), all / choices});
+    }
+    print("board memory", "targets", "bytes", bytes);
+    print("board time for candidates and choice", "targets", "microseconds", choosing);
+}
+
 void measureTeams()
 {
     std::vector<Point> bytes;
@@ -312,6 +353,7 @@
     measureLedger();
     measureFlush();
     measureTargets();
+    measureBoard();
     measureTeams();
     measurePeers();
     measureRuns();
--- a/src/routing/targettable.cpp
+++ b/src/routing/targettable.cpp
@@ -35,7 +35,7 @@
     m_entries = std::move(kept);
 }
 
-void TargetTable::reported(std::string_view target, const LoadReport &report, Instant now)
+void TargetTable::reported(std::string_view target, const TargetReport &report, Instant now)
 {
     const auto found = m_entries.find(std::string(target));
     if (found == m_entries.end()) {
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -14,7 +14,7 @@
 namespace bamboohold {
 
 /// A target's own account of its load. It lags by the time it takes to arrive.
-struct LoadReport {
+struct TargetReport {
     std::string incarnation;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
@@ -67,7 +67,7 @@
     void setPlaces(std::vector<TargetPlace> places);
 
     /// A report arrived.
-    void reported(std::string_view target, const LoadReport &report, Instant now);
+    void reported(std::string_view target, const TargetReport &report, Instant now);
 
     /// Chooses a target, or none when no usable one is left.
     std::optional<TargetChoice> choose(const TargetWish &wish, Instant now) const;
@@ -88,7 +88,7 @@
     /// One line of the operators' view.
     struct Row {
         TargetPlace place;
-        LoadReport report;
+        TargetReport report;
         std::uint32_t outstanding = 0;
         bool usable = false;
     };
@@ -99,7 +99,7 @@
 private:
     struct Entry {
         TargetPlace place;
-        LoadReport report;
+        TargetReport report;
         std::optional<Instant> heardAt;
         std::optional<Instant> pausedUntil;
         std::uint32_t outstanding = 0;
