--- a/src/budget/checkpointrow.h
+++ b/src/budget/checkpointrow.h
@@ -19,10 +19,8 @@
 inline constexpr std::string_view s_checkpointKey = "newest";
 
 /// A commitment does not grow for this long. A router in touch with the store writes another one sooner, so the growth serves outages of
-/// the store alone; and what it allows is lost when routers die, since nobody knows how much of it was used. Killed processes and hosts
-/// without power are most often back within 2.5 s. With growth from the start, at 0.9 of demand or more, all routers' deaths counted 3.5
-/// to 9.8% of what teams had paid as spent, of which 0.2 to 2.5% had been; requests refused for it were 7% of all, and are 0.9 to 2.3%
-/// (days of three fleets of 5, two seeds a day).
+/// the store alone; and what it allows is lost when routers die, since nobody knows how much of it was used. Killed processes are most
+/// often back within this time.
 inline constexpr Duration s_stillTime = std::chrono::milliseconds(2500);
 
 /// What a router promises about one team from the moment of a checkpoint until its next one.
--- a/src/budget/holdingpolicy.h
+++ b/src/budget/holdingpolicy.h
@@ -4,12 +4,10 @@
 
 namespace bamboohold {
 
-/// How a router sizes what it holds of a team's prepaid tokens, and how fast it may commit them. Figures without a source of their own were
-/// chosen by playing days of fleets of 5, 20 and 26 routers.
+/// How a router sizes what it holds of a team's prepaid tokens, and how fast it may commit them.
 struct HoldingPolicy {
     /// A router aims to hold this much of its own demand: twice the longest cuts from the store, of about nine seconds, for demand is not
-    /// even and its keepers lend. Checkpoints bound what a death loses, so that holding more costs little; with 11 s more was refused in
-    /// the second cut of a day (mean share refused on a fleet of 20: 0.089, with 18 s 0.074), with 30 s no less.
+    /// even and its keepers lend. Checkpoints bound what a death loses, so that holding more costs little.
     Duration horizon = std::chrono::seconds(18);
     /// Before a router has seen any demand of a team, all routers together hold this share of what is left of the budget: a cut in the
     /// first seconds must not find them empty.
--- a/src/budget/keepers.h
+++ b/src/budget/keepers.h
@@ -10,8 +10,7 @@
 namespace bamboohold {
 
 /// Tokens of a team's whole budget for each router that holds a part of it, in usual requests. With fewer, a router's part is a request or
-/// two: it strands when the budget ends or the router dies, and does not last through a cut. On fleets of 20 and 26 routers 20 and 40
-/// served the same, within noise; with 20 a fleet of five keeps nearly every budget on all of them.
+/// two: it strands when the budget ends or the router dies, and does not last through a cut.
 inline constexpr double s_requestsPerKeeper = 20;
 
 /// Routers that keep a budget at the least, so that the loss of one leaves another.
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -268,8 +268,8 @@
     }
     if (loan.exhausted) {
         // What was wanted is the sum of all that waits. Lenders give what they have of it: after nothing at all there is nothing for a
-        // smaller request either. Told apart by the sum, those of a used-up budget were refused as out of reach, to come back in 0.5 s:
-        // 5,454 of one team on a day of 103 routers, each of which came back in vain.
+        // smaller request either. Told apart by the sum, callers of a used-up budget would be told that it is out of reach, and come back
+        // in vain.
         account.uncovered = loan.tokens == 0 ? 1 : wanted - loan.tokens;
         account.uncoveredUntil = steadyNow() + m_options.borrowPause;
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,9 +36,9 @@
         RetryBudget::Options retries;
         /// Routers that share the retry budget, this one included.
         std::function<std::size_t()> routers;
-        /// A router that has just started has its configuration and targets after 25 to 50 ms, and all callers that could not connect
-        /// before come at once: 50 to 60 requests were refused in those moments on a fleet of 5, and were late when they came back. They
-        /// wait for this long at most; longer, and the store is most likely away.
+        /// A router that has just started has its configuration and targets within tens of milliseconds, and all callers that could not
+        /// connect before come at once: refused in those moments, they would be late when they come back. They wait for this long at most;
+        /// longer, and the store is most likely away.
         Duration startPatience = std::chrono::milliseconds(300);
         /// Targets asked for their load before one is chosen. With two the busier of two is avoided; more bring little, and each takes a
         /// datagram either way.
--- a/src/gateway/loadshedder.h
+++ b/src/gateway/loadshedder.h
@@ -24,8 +24,7 @@
         /// for the rest of each tenth of a second once its share is used up has up to 45 ms of it, on average, without being overloaded.
         Duration target = std::chrono::milliseconds(60);
         /// The share grows by this much a tick while the delay is above that, up to four times as fast when it is far above; it shrinks by
-        /// this part a tick otherwise. Growth three times as fast, and more for late measurements, refused 10% of all requests of a
-        /// fleet on a day with one such caller, most of them twice; with this it is 5%.
+        /// this part a tick otherwise. Faster growth overshoots: callers are refused who come back to the same host and are refused again.
         double growth = 0.012;
         double decay = 0.05;
         /// Never all of them: what is still let in tells whether there is time again.
--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -191,8 +191,7 @@
     }
 
     /// Asks one peer. An answer that comes when nobody waits for it any more is still the team's: the lender has counted it as spent, so it
-    /// would be lost to the team. On a day with a slow store up to 3.6% of what a team had paid was asked for in loans that went
-    /// unanswered; how much of it lenders had set aside was not counted.
+    /// would be lost to the team.
     asio::awaitable<void> askLoan(std::string peer, std::shared_ptr<PendingLoan> loan)
     {
         wire::PeerCall call;
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -33,8 +33,8 @@
 /// Events that a target may have made, unseen, before it noticed that its answer was no longer wanted: half a second's worth at the fastest
 /// step, and some that were on their way.
 constexpr Tokens s_unseenEvents = 48;
-/// What a stream takes, by its token counts, on engines that read some 38 prompt tokens in a millisecond and make a token of each stream in
-/// about 5 ms at the usual load: half as much again. Most streams end well before their output limit.
+/// What a stream takes, by its token counts, on an engine that is half as slow again as usual. Most streams end well before their output
+/// limit.
 constexpr double s_slowMsPerOutputToken = 7.5;
 constexpr double s_slowMsPerPromptToken = 0.06;
 constexpr Duration s_queueAllowance = std::chrono::milliseconds(300);
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -54,7 +54,7 @@
     /// Where given, only these come into question.
     std::span<const std::string> among;
     /// Decides between targets that are equally good, and which ones of many are looked at. Different for each request: routers with equal
-    /// views that all took the first of equals sent 2.2 times the mean to the busiest of 180 targets, and left others idle.
+    /// views that all took the first of equals would send much to one target and leave others idle.
     std::uint64_t draw = 0;
 };
 
@@ -106,17 +106,15 @@
         Duration listGrace = std::chrono::milliseconds(2300);
         /// A cached part is reckoned with for this long after its last use; the engines' memory turns over more slowly than that.
         Duration cacheMemory = std::chrono::seconds(20);
-        /// Prompt tokens that an engine reads in a millisecond; from the engines' data sheet.
+        /// Prompt tokens that an engine reads in a millisecond.
         double prefillTokensPerMs = 38.4;
         /// A token that has to be read counts this many times its own time: it also holds up whoever comes to that target next, and pushes
-        /// something else out of its memory. Routers that know each other's loads leave busy favourites too easily otherwise: with 1, 2.5
-        /// and 5 a fleet of 5 routers had 0.536, 0.560 and 0.586 of worth (mean of five days, one play each), and 0.568 with own loads
-        /// only.
+        /// something else out of its memory. Routers that know each other's loads leave busy favourites too easily otherwise.
         double rereadWeight = 5;
         /// Milliseconds that one more running request adds to another's first token.
         double msPerOutstanding = 4;
-        /// The same for one that another router has there: of these all are known, and each makes an engine's step only a little longer
-        /// (0.0138 ms of 4.73 by its data sheet), where one of few routers' own stands for those that it does not see.
+        /// The same for one that another router has there: of these all are known, and each makes an engine's step only a little longer,
+        /// where one of few routers' own stands for those that it does not see.
         double msPerKnown = 1;
         /// And one that has to wait for a slot: a stream of some hundred tokens keeps one of 32 slots for a second.
         double msPerQueued = 40;
--- a/src/membership/planseeker.h
+++ b/src/membership/planseeker.h
@@ -22,9 +22,9 @@
 /// Decides when and from whom a router takes a configuration that peers have in force and the store has not brought.
 ///
 /// The store's own way comes first, and gets time by the size of the document in force: both ways share the router's link. Then one peer at
-/// a time is asked, for one piece at a time. Asked all at once for all of it, eight peers filled links of 10 Mbit/s
-/// for eight seconds with documents of 0.7 MB that nobody waited for any more, and calls of a few hundred bytes timed out behind them. What
-/// has come stays when a peer falls silent: another one goes on where it stopped.
+/// a time is asked, for one piece at a time. Asked all at once for all of it, peers would fill a slow link with copies
+/// that nobody waits for any more, and every other call would time out behind them. What has come stays when a peer falls silent: another
+/// one goes on where it stopped.
 ///
 /// Pure: events and `now` in.
 class PlanSeeker
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -35,11 +35,10 @@
     /// Bound on each wait for the peer, not on the whole answer: for the head, and in a streamed answer for each further piece.
     Duration timeout = std::chrono::seconds(10);
     /// Bound on each wait for more of a whole answer that has begun to come. A peer that has answered in time is alive; how long the rest
-    /// takes is a matter of its size and of the link, so only silence ends it. With one limit on the whole answer, 600 ms, a document of
-    /// 0.7 MB never crossed a link of 10 Mbit/s, and the attempts kept that link full for as long as it was watched, 20 s and more. One
-    /// second is what a retransmission takes after two losses in a row (0.2 and 0.4 s).
+    /// takes is a matter of its size and of the link, so only silence ends it. With one limit on the whole answer, a large one would never
+    /// cross a slow link, and the attempts would keep that link full. Long enough for a retransmission after two losses in a row.
     Duration stallTimeout = std::chrono::seconds(1);
-    /// Bound on a whole answer, against a peer that sends a little now and then for ever. 30 s carry 37 MB over 10 Mbit/s.
+    /// Bound on a whole answer, against a peer that sends a little now and then for ever.
     Duration longestAnswer = std::chrono::seconds(30);
     /// Bound on opening a connection: a host without power answers nothing at all, and the kernel would try for minutes.
     Duration connectTimeout = std::chrono::seconds(10);
--- a/src/store/tablewatcher.h
+++ b/src/store/tablewatcher.h
@@ -131,9 +131,8 @@
         m_options.onReachable(answered);
     }
 
-    /// Rows from this size on, in bytes, are passed over where a newer one is at hand: a change of a document of 2.4 MB takes 0.02 to 0.07
-    /// s of a processor, measured on running routers, and ten times as long with a tenth of one. Smaller ones are all taken, since a
-    /// target's record may say in between that it leaves; one has some 300 bytes.
+    /// Rows from this size on, in bytes, are passed over where a newer one is at hand: reading a large document takes a small host most of
+    /// a second. Smaller ones are all taken, since a target's record may say in between that it leaves.
     static constexpr std::size_t s_largeRow = 16 * 1024;
 
     Store &m_store;
