--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -1,6 +1,8 @@
 #include "gateway/requestrun.h"
 
 #include "clock/steadytime.h"
+#include "gateway/requestcost.h"
+#include "gateway/requesttimes.h"
 #include "operations/log.h"
 #include "routing/stablehash.h"
 
@@ -20,27 +22,12 @@
 constexpr Duration s_connectTimeout = std::chrono::milliseconds(250);
 /// Less time than this is not worth another attempt: a target could not answer within it.
 constexpr Duration s_leastTime = std::chrono::milliseconds(30);
-/// Callers abandon a stream after a silence of two seconds or more; a stream that can go on elsewhere must do so well before.
-constexpr Duration s_longestSilence = std::chrono::milliseconds(1200);
-/// A stream that can only go on where it is is given up after this: no caller waits longer for the next event.
-constexpr Duration s_deadSilence = std::chrono::milliseconds(4000);
 /// A target that has started again since it was sent a request knows nothing of it. Where its host lost power or is cut off, no reset says
 /// so, and the caller would wait half of its time or more for nothing. What still comes from a former life is passed on; after this
 /// silence, as long as the pause that callers expect of a stream at most, the request goes elsewhere.
 constexpr Duration s_formerLifeSilence = std::chrono::milliseconds(400);
 /// An answer up to this size is held until it is whole, so that a broken one can be replaced; longer ones would delay their callers.
 constexpr std::size_t s_heldBytes = 256 * 1024;
-/// Events that a target may have made, unseen, before it noticed that its answer was no longer wanted: half a second's worth at the fastest
-/// step, and some that were on their way.
-constexpr Tokens s_unseenEvents = 48;
-/// What a stream takes, by its token counts, on an engine that is half as slow again as usual. Most streams end well before their output
-/// limit.
-constexpr double s_slowMsPerOutputToken = 7.5;
-constexpr double s_slowMsPerPromptToken = 0.06;
-constexpr Duration s_queueAllowance = std::chrono::milliseconds(300);
-/// Once a router has been ending for a while there is no time left in which a slower stream could finish: twice the usual pace.
-constexpr Duration s_lateInDrain = std::chrono::milliseconds(4000);
-constexpr int s_lateFactor = 2;
 /// Told to callers of a router that ends: it is back about this long after its end, and another one usually sooner.
 constexpr std::int64_t s_retryAfterDrainMs = 1000;
 /// Told to callers when no target has room; queues there drain within about this time.
@@ -59,11 +46,6 @@
 constexpr unsigned s_firstRedirect = 300;
 constexpr unsigned s_firstServerError = 500;
 
-Duration clamped(Duration value)
-{
-    return std::max<Duration>(value, std::chrono::milliseconds(1));
-}
-
 std::int64_t inMs(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -86,17 +68,6 @@
     m_gateway.m_streamsInFlight -= m_countedStream ? 1 : 0;
 }
 
-Duration RequestRun::longestRun() const
-{
-    if (m_route->repeatability != Repeatability::Stream) {
-        return std::min(m_route->timeout, m_terms.patience);
-    }
-    const double reading = s_slowMsPerPromptToken * static_cast<double>(m_terms.promptTokens);
-    const double writing = s_slowMsPerOutputToken * static_cast<double>(m_terms.outputLimit);
-    const auto run = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(reading + writing)) + s_queueAllowance;
-    return std::min({run, m_route->timeout, m_terms.patience});
-}
-
 asio::awaitable<void> RequestRun::serve()
 {
     const absl::Status admitted = admit();
@@ -121,12 +92,6 @@
     co_await finish(end);
 }
 
-Duration RequestRun::allowanceForEnd() const
-{
-    const bool late = *m_gateway.m_end - m_arrived < s_lateInDrain;
-    return late ? s_lateFactor * longestRun() : longestRun();
-}
-
 absl::Status RequestRun::admit()
 {
     absl::StatusOr<RequestTerms> terms = m_gateway.m_options.codec.readRequest(m_exchange.request());
@@ -154,7 +119,7 @@
     if (const absl::Status held = heldBack(); !held.ok()) {
         return held;
     }
-    if (m_gateway.m_end && m_arrived + allowanceForEnd() > *m_gateway.m_end) {
+    if (m_gateway.m_end && m_arrived + allowanceForEnd(*m_route, m_terms, *m_gateway.m_end - m_arrived) > *m_gateway.m_end) {
         return toStatus(
             {.kind = FailureKind::Draining, .detail = "this router ends before the request would", .retryAfterMs = s_retryAfterDrainMs});
     }
@@ -190,7 +155,7 @@
     co_return made.status();
 }
 
-asio::awaitable<RequestRun::AttemptEnd> RequestRun::attempts()
+asio::awaitable<AttemptEnd> RequestRun::attempts()
 {
     AttemptEnd end = AttemptEnd::NotRun;
     m_lastProblem = "no target";
@@ -293,14 +258,10 @@
     return true;
 }
 
-Duration RequestRun::firstByteLimit(Instant now) const
+Duration RequestRun::firstByteTime(Instant now) const
 {
-    const Duration left = m_deadline - now;
     const bool another = m_route->repeatable() && m_ran + 1 < m_route->maxAttempts;
-    if (!another) {
-        return clamped(left);
-    }
-    return clamped(std::min(left, std::max(left / 2, m_route->objective * 13 / 10)));
+    return firstByteLimit(*m_route, m_deadline - now, another);
 }
 
 HttpCallOptions RequestRun::callOptions(const Placement &placement, Instant now) const
@@ -316,7 +277,7 @@
                             .body = request.body(),
                             .headers = m_gateway.m_options.codec.dispatchHeaders(request, terms),
                             .host = std::string(m_exchange.header("Host")),
-                            .timeout = firstByteLimit(now),
+                            .timeout = firstByteTime(now),
                             .connectTimeout = s_connectTimeout};
     options.belongs = [this](const http::fields &fields) {
         const AnswerTerms answer = m_gateway.m_options.codec.readAnswer(s_firstSuccess, fields);
@@ -325,7 +286,7 @@
     return options;
 }
 
-RequestRun::AttemptEnd RequestRun::endOf(const absl::Status &status) const
+AttemptEnd RequestRun::endOf(const absl::Status &status) const
 {
     if (m_callerLeft) {
         return AttemptEnd::CallerLeft;
@@ -336,7 +297,7 @@
     return steadyNow() >= m_deadline ? AttemptEnd::TimedOut : AttemptEnd::Broken;
 }
 
-asio::awaitable<RequestRun::AttemptEnd> RequestRun::attempt(const Placement &placement)
+asio::awaitable<AttemptEnd> RequestRun::attempt(const Placement &placement)
 {
     HttpCallOptions options = callOptions(placement, m_attemptAt);
     const std::shared_ptr<HttpClient> client = m_gateway.client(placement);
@@ -358,7 +319,7 @@
     co_return end;
 }
 
-asio::awaitable<RequestRun::AttemptEnd> RequestRun::takeAnswer(HttpStreamCall &call)
+asio::awaitable<AttemptEnd> RequestRun::takeAnswer(HttpStreamCall &call)
 {
     const AnswerTerms answer = m_gateway.m_options.codec.readAnswer(call.status(), call.headers());
     const unsigned status = call.status();
@@ -387,7 +348,7 @@
     co_return end;
 }
 
-RequestRun::AttemptEnd RequestRun::answerBrokeOff(const absl::Status &status)
+AttemptEnd RequestRun::answerBrokeOff(const absl::Status &status)
 {
     m_lastProblem = std::string(status.message());
     m_sign = m_callerLeft ? TargetSign::Neutral : TargetSign::Failing;
@@ -395,12 +356,12 @@
     return endOf(status);
 }
 
-asio::awaitable<RequestRun::AttemptEnd> RequestRun::takeWhole(HttpStreamCall &call)
+asio::awaitable<AttemptEnd> RequestRun::takeWhole(HttpStreamCall &call)
 {
     HeldAnswer answer{.status = call.status(), .headers = endToEndHeaders(call.headers())};
     bool more = true;
     while (more) {
-        call.setTimeout(clamped(m_deadline - steadyNow()));
+        call.setTimeout(clampedWait(m_deadline - steadyNow()));
         absl::StatusOr<std::string> piece = co_await call.readSome();
         if (!piece.ok()) {
             const AttemptEnd end = answerBrokeOff(piece.status());
@@ -445,14 +406,14 @@
     m_callerLeft = m_callerLeft || !begun;
 }
 
-asio::awaitable<RequestRun::AttemptEnd> RequestRun::takeStream(HttpStreamCall &call)
+asio::awaitable<AttemptEnd> RequestRun::takeStream(HttpStreamCall &call)
 {
-    const Duration silence = m_route->resumable ? std::max(s_longestSilence, 4 * m_route->pauseObjective) : s_deadSilence;
+    const Duration silence = longestSilence(*m_route);
     bool more = true;
     bool first = true;
     while (more) {
         const Instant now = steadyNow();
-        call.setTimeout(clamped(first ? firstByteLimit(now) : std::min(m_deadline - now, silence)));
+        call.setTimeout(clampedWait(first ? firstByteTime(now) : std::min(m_deadline - now, silence)));
         const absl::StatusOr<std::string> piece = co_await call.readSome();
         if (!piece.ok()) {
             const AttemptEnd end = answerBrokeOff(piece.status());
@@ -483,21 +444,13 @@
     if (!m_reservation) {
         return;
     }
-    const Tokens perEvent = m_service != nullptr ? m_service->tokensPerEvent : 1;
-    const auto events = static_cast<Tokens>(m_events.events());
-    Tokens used = m_reservation->bound;
-    if (m_ran == 0 && m_sent == 0) {
-        used = 0;
-    } else if (m_ran == 0) {
-        // Every target said that it did not run the request.
-        used = 0;
-    } else if (!m_uncounted && end == AttemptEnd::Delivered && m_streaming) {
-        used = m_terms.promptTokens + events * perEvent;
-    } else if (!m_uncounted && end == AttemptEnd::Failed) {
-        used = m_terms.promptTokens;
-    } else if (!m_uncounted && end == AttemptEnd::CallerLeft) {
-        used = m_terms.promptTokens + (events + s_unseenEvents) * perEvent;
-    }
+    const Tokens used = usedTokens(m_terms,
+                                   {.end = end,
+                                    .ran = m_ran,
+                                    .uncounted = m_uncounted,
+                                    .streamed = m_streaming,
+                                    .events = m_events.events(),
+                                    .tokensPerEvent = m_service != nullptr ? m_service->tokensPerEvent : 1});
     m_gateway.m_ledger.settle(m_team, *m_reservation, used);
     m_reservation.reset();
 }
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/attemptend.h"
 #include "gateway/eventstream.h"
 #include "gateway/gateway.h"
 #include "quarantine/requestfingerprint.h"
@@ -33,22 +34,6 @@
     void leaveFormerLife(Instant now);
 
 private:
-    /// How one attempt ended.
-    enum class AttemptEnd {
-        /// The caller has the whole answer.
-        Delivered,
-        /// The target did not run it, or was never reached.
-        NotRun,
-        /// The target ran it and failed; the failure can be passed on.
-        Failed,
-        /// It may have run; nothing usable came, or the stream broke off.
-        Broken,
-        /// The caller left.
-        CallerLeft,
-        /// The caller's or the route's time is over.
-        TimedOut,
-    };
-
     /// A whole answer that waits to be passed on.
     struct HeldAnswer {
         unsigned status = 0;
@@ -62,8 +47,6 @@
     absl::Status heldBack();
     void noteBreakOff(AttemptEnd end);
     void noteAnswered();
-    Duration longestRun() const;
-    Duration allowanceForEnd() const;
     asio::awaitable<absl::Status> reserve();
     asio::awaitable<AttemptEnd> attempts();
     asio::awaitable<AttemptEnd> attempt(const Placement &placement);
@@ -78,7 +61,7 @@
     AttemptEnd answerBrokeOff(const absl::Status &status);
     bool mayTryAgain(AttemptEnd end, Instant now);
     HttpCallOptions callOptions(const Placement &placement, Instant now) const;
-    Duration firstByteLimit(Instant now) const;
+    Duration firstByteTime(Instant now) const;
     void noteAttemptEnd(AttemptEnd end);
     void noteFirstByte();
     void settle(AttemptEnd end);
