A spoilt row of a budget frees nothing: rows are read whole or not at all

Cause: a field of a pool's or holder's row that was missing, of another type or out of range was read as zero. A pool whose 'allocated' was spoilt had its whole budget free once more, so the team could get it twice; a dead holder without 'settled' gave more back than it had; a checkpoint with a negative promise freed what was spent, and sums could overflow. Ruled out: refusing negative times too (the store's clock has an origin of its own; that would have spoilt sound rows). Change: holder and pool rows need each field, as a whole number from 0 to 10^15; a spoilt holder has nothing to return, a spoilt pool nothing free, and the log names the field. Checkpoints take counts of that range only. The other way stays as it was: what cannot be read counts as spent.

--- a/src/budget/checkpointrow.cpp
+++ b/src/budget/checkpointrow.cpp
@@ -33,23 +33,42 @@
     return object;
 }
 
+std::int64_t countFrom(const boost::json::value &value)
+{
+    const std::int64_t count = value.as_int64();
+    if (count < 0 || count > s_mostStored) {
+        throw std::invalid_argument("a count out of range");
+    }
+    return count;
+}
+
+/// The store's clock has an origin of its own, so that a process may have started before it.
+StoreTimeMs timeFrom(const boost::json::value &value)
+{
+    const StoreTimeMs time = value.as_int64();
+    if (time < -s_mostStored || time > s_mostStored) {
+        throw std::invalid_argument("a time out of range");
+    }
+    return time;
+}
+
 Commitment commitmentFrom(const boost::json::value &value)
 {
     const boost::json::array &numbers = value.as_array();
     if (numbers.size() != s_numbers) {
         throw std::invalid_argument("a commitment has three numbers");
     }
-    return {.committed = numbers[0].as_int64(), .burst = numbers[1].as_int64(), .rate = numbers[2].as_int64()};
+    return {.committed = countFrom(numbers[0]), .burst = countFrom(numbers[1]), .rate = countFrom(numbers[2])};
 }
 
 Checkpoint checkpointFrom(const boost::json::value &value)
 {
     const boost::json::object &object = value.as_object();
     Checkpoint checkpoint{.incarnation = std::string(object.at("incarnation").as_string()),
-                          .sequence = static_cast<std::uint64_t>(object.at("sequence").as_int64()),
-                          .baseline = object.at("baseline_ms").as_int64()};
+                          .sequence = static_cast<std::uint64_t>(countFrom(object.at("sequence"))),
+                          .baseline = timeFrom(object.at("baseline_ms"))};
     if (const auto *died = object.if_contains("died_before_ms")) {
-        checkpoint.diedBefore = died->as_int64();
+        checkpoint.diedBefore = timeFrom(*died);
     }
     for (const auto &[team, commitment] : object.at("teams").as_object()) {
         checkpoint.teams[std::string(team)] = commitmentFrom(commitment);
--- a/src/budget/checkpointrow.h
+++ b/src/budget/checkpointrow.h
@@ -23,6 +23,9 @@
 /// often back within this time.
 inline constexpr Duration s_stillTime = std::chrono::milliseconds(2500);
 
+/// No count of tokens or time that a row of ours holds is larger; one that is comes from somewhere else, and sums of such do not overflow.
+inline constexpr std::int64_t s_mostStored = 1'000'000'000'000'000;
+
 /// What a router promises about one team from the moment of a checkpoint until its next one.
 struct Commitment {
     /// Tokens spent for good, lent, or reserved at that moment.
--- a/src/budget/holdingrows.cpp
+++ b/src/budget/holdingrows.cpp
@@ -1,5 +1,7 @@
 #include "budget/holdingrows.h"
 
+#include "budget/checkpointrow.h"
+
 #include "operations/log.h"
 
 #include <boost/json/object.hpp>
@@ -12,24 +14,75 @@
 
 constexpr std::string_view s_holderPrefix = "holder/";
 /// More than any budget: a pool of which this is handed out has nothing free.
-constexpr Tokens s_allHandedOut = 1'000'000'000'000'000;
+constexpr Tokens s_allHandedOut = s_mostStored + 1;
 
-std::int64_t whole(const boost::json::object &object, std::string_view name)
+/// Reads a row's fields one after the other. A field that is missing, or holds what none of ours does, spoils the whole row: read as zero,
+/// a count of tokens handed out would make them free a second time.
+class RowReader
 {
-    const auto *value = object.if_contains({name.data(), name.size()});
-    return value != nullptr && value->is_int64() ? value->get_int64() : 0;
-}
+public:
+    explicit RowReader(const StoredRow &stored)
+        : m_stored(stored)
+    {
+        boost::json::error_code error;
+        boost::json::value value = boost::json::parse(stored.value, error);
+        if (error || !value.is_object()) {
+            m_spoilt = "no object";
+        } else {
+            m_object = std::move(value.get_object());
+        }
+    }
 
-boost::json::object parsed(const StoredRow &stored)
-{
-    boost::json::error_code error;
-    const boost::json::value value = boost::json::parse(stored.value, error);
-    if (error || !value.is_object()) {
-        logLine(Severity::Error, "budget.row_unreadable", {{"row", stored.address.key}, {"team", stored.address.part}});
-        return {};
+    std::int64_t whole(std::string_view name)
+    {
+        return within(name, 0);
+    }
+
+    /// A time of the store's clock, which has an origin of its own.
+    StoreTimeMs time(std::string_view name)
+    {
+        return within(name, -s_mostStored);
+    }
+
+    std::string text(std::string_view name)
+    {
+        const auto *value = m_object.if_contains({name.data(), name.size()});
+        if (value == nullptr || !value->is_string()) {
+            spoiltBy(name);
+            return {};
+        }
+        return std::string(value->get_string());
     }
-    return value.get_object();
-}
+
+    /// Whether all that was read was sound; says in the log what was not.
+    bool sound() const
+    {
+        if (!m_spoilt.empty()) {
+            logLine(Severity::Error,
+                    "budget.row_unreadable",
+                    {{"row", m_stored.address.key}, {"team", m_stored.address.part}, {"detail", m_spoilt}});
+        }
+        return m_spoilt.empty();
+    }
+
+private:
+    std::int64_t within(std::string_view name, std::int64_t least)
+    {
+        const auto *value = m_object.if_contains({name.data(), name.size()});
+        const bool sound = value != nullptr && value->is_int64() && value->get_int64() >= least && value->get_int64() <= s_mostStored;
+        return sound ? value->get_int64() : spoiltBy(name);
+    }
+
+    std::int64_t spoiltBy(std::string_view name)
+    {
+        m_spoilt = name;
+        return 0;
+    }
+
+    const StoredRow &m_stored;
+    boost::json::object m_object;
+    std::string m_spoilt;
+};
 
 }
 
@@ -40,18 +93,15 @@
 
 HolderRow holderRowFrom(const StoredRow &stored)
 {
-    const boost::json::object object = parsed(stored);
-    HolderRow row{.flush = static_cast<std::uint64_t>(whole(object, "flush")),
-                  .granted = whole(object, "granted"),
-                  .settled = whole(object, "settled"),
-                  .committed = whole(object, "committed"),
-                  .demand = whole(object, "demand"),
-                  .writtenAt = whole(object, "written_at_ms")};
-    const auto *incarnation = object.if_contains("incarnation");
-    if (incarnation != nullptr && incarnation->is_string()) {
-        row.incarnation = std::string(incarnation->get_string());
-    }
-    return row;
+    RowReader reader(stored);
+    HolderRow row{.incarnation = reader.text("incarnation"),
+                  .flush = static_cast<std::uint64_t>(reader.whole("flush")),
+                  .granted = reader.whole("granted"),
+                  .settled = reader.whole("settled"),
+                  .committed = reader.whole("committed"),
+                  .demand = reader.whole("demand"),
+                  .writtenAt = reader.time("written_at_ms")};
+    return reader.sound() ? row : HolderRow{};
 }
 
 std::string toText(const HolderRow &row)
@@ -67,14 +117,12 @@
 
 PoolRow poolRowFrom(const StoredRow &stored)
 {
-    const boost::json::object object = parsed(stored);
-    if (object.empty()) {
-        // Taken for an untouched pool, it would hand out what others hold already.
-        return {.allocated = s_allHandedOut};
-    }
-    return {.prepaid = whole(object, "prepaid"),
-            .planVersion = static_cast<std::uint64_t>(whole(object, "plan_version")),
-            .allocated = whole(object, "allocated")};
+    RowReader reader(stored);
+    const PoolRow row{.prepaid = reader.whole("prepaid"),
+                      .planVersion = static_cast<std::uint64_t>(reader.whole("plan_version")),
+                      .allocated = reader.whole("allocated")};
+    // Taken for an untouched pool, a spoilt one would hand out what others hold already.
+    return reader.sound() ? row : PoolRow{.allocated = s_allHandedOut};
 }
 
 std::string toText(const PoolRow &row)
--- /dev/null
+++ b/src/tests/storedrowstest.cpp
@@ -0,0 +1,135 @@
+#include "budget/checkpointrow.h"
+#include "budget/holdingrows.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace bamboohold;
+
+namespace {
+
+const PoolRow s_pool{.prepaid = 5'000'000, .planVersion = 7, .allocated = 4'000'000};
+const HolderRow s_holder{.incarnation = "router~1",
+                         .flush = 12,
+                         .granted = 90'000,
+                         .settled = 70'000,
+                         .committed = 75'000,
+                         .demand = 900,
+                         .writtenAt = 1'000'000};
+
+StoredRow row(std::string value)
+{
+    return {.address = {.table = "budget", .part = "team", .key = "row"}, .value = std::move(value), .version = 3};
+}
+
+Tokens freeIn(const PoolRow &pool)
+{
+    return pool.prepaid - pool.allocated;
+}
+
+/// The text with some bytes changed.
+std::string spoilt(std::string text, std::mt19937 &random)
+{
+    for (unsigned change = random() % 3 + 1; change > 0; --change) {
+        text[random() % text.size()] = static_cast<char>(random());
+    }
+    return text;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(StoredRowsTest)
+
+BOOST_AUTO_TEST_CASE(soundRowsAreReadBack)
+{
+    const PoolRow pool = poolRowFrom(row(toText(s_pool)));
+    BOOST_TEST(pool.prepaid == s_pool.prepaid);
+    BOOST_TEST(pool.allocated == s_pool.allocated);
+    const HolderRow holder = holderRowFrom(row(toText(s_holder)));
+    BOOST_TEST(holder.incarnation == s_holder.incarnation);
+    BOOST_TEST(holder.granted == s_holder.granted);
+    BOOST_TEST(holder.committed == s_holder.committed);
+}
+
+// The store's clock began after a router had started: times before its origin are sound.
+BOOST_AUTO_TEST_CASE(timesBeforeTheStoresOriginAreSound)
+{
+    HolderRow holder = s_holder;
+    holder.writtenAt = -1500;
+    BOOST_TEST(holderRowFrom(row(toText(holder))).granted == s_holder.granted);
+    const CheckpointRow checkpoint{.own = {.incarnation = "router~2", .baseline = -200},
+                                   .earlier = {{.incarnation = "router~1", .baseline = -900, .diedBefore = -100}}};
+    const CheckpointRow back = checkpointRowFrom(row(toText(checkpoint)));
+    BOOST_TEST(back.own.incarnation == "router~2");
+    BOOST_TEST(back.earlier.size() == 1U);
+}
+
+// A pool's row lost the field that says what is handed out, or has a number there that none of ours is. Read as nothing handed out, the
+// whole budget would be free once more, and the team would get it twice.
+BOOST_AUTO_TEST_CASE(aSpoiltPoolHasNothingFree)
+{
+    for (const char *text : {"",
+                             "[]",
+                             "{}",
+                             R"({"prepaid":5000000,"plan_version":7})",
+                             R"({"prepaid":5000000,"plan_version":7,"allocated":"4000000"})",
+                             R"({"prepaid":5000000,"plan_version":7,"allocated":4e6})",
+                             R"({"prepaid":5000000,"plan_version":7,"allocated":-4000000})",
+                             R"({"prepaid":5000000,"plan_version":7,"allocated":null})",
+                             R"({"prepaid":9223372036854775807,"plan_version":7,"allocated":0})",
+                             R"({"prepaid":5000000,"plan_version":7,"allocated":18446744073709551615})"}) {
+        BOOST_TEST(freeIn(poolRowFrom(row(text))) < 0, text);
+    }
+}
+
+// A dead router's row has no count of what it settled, or a count that none of ours is: nothing of it goes back to the pool.
+BOOST_AUTO_TEST_CASE(aSpoiltHolderHasNothingToReturn)
+{
+    for (const char *text :
+         {"",
+          "{}",
+          R"({"incarnation":"router~1","granted":90000})",
+          R"({"incarnation":7,"flush":1,"granted":90000,"settled":0,"committed":0,"demand":0,"written_at_ms":0})",
+          R"({"incarnation":"r","flush":1,"granted":9223372036854775807,"settled":0,"committed":0,"demand":0,"written_at_ms":0})",
+          R"({"incarnation":"r","flush":1,"granted":90000,"settled":-5,"committed":0,"demand":0,"written_at_ms":0})",
+          R"({"incarnation":"r","flush":1,"granted":90000.5,"settled":0,"committed":0,"demand":0,"written_at_ms":0})"}) {
+        BOOST_TEST(holderRowFrom(row(text)).granted == 0, text);
+    }
+}
+
+// A checkpoint with a negative or endless promise would make its dead router have spent less than nothing, or overflow.
+BOOST_AUTO_TEST_CASE(aSpoiltCheckpointTellsNothing)
+{
+    const std::string sound =
+        toText(CheckpointRow{.own = {.incarnation = "router~1", .sequence = 4, .baseline = 1000, .teams = {{"team", {10, 20, 30}}}}});
+    BOOST_TEST(checkpointRowFrom(row(sound)).own.teams.at("team").committed == 10);
+    for (const char *promise : {"[-10,20,30]", "[10,20]", "[10,20,9223372036854775807]", "[10,20,3e4]", "[10,null,30]", "{}"}) {
+        std::string text = sound;
+        text.replace(text.find("[10,20,30]"), std::string("[10,20,30]").size(), promise);
+        BOOST_TEST(checkpointRowFrom(row(text)).own.incarnation.empty(), text);
+    }
+}
+
+// Whatever bytes stand in a row: no process ends over it, and no budget is free beyond what is paid for.
+BOOST_AUTO_TEST_CASE(anyBytesAreBorne)
+{
+    std::mt19937 random(20261203);
+    const std::string checkpoint = toText(CheckpointRow{.own = {.incarnation = "router~1", .teams = {{"team", {10, 20, 30}}}}});
+    for (int round = 0; round < 4000; ++round) {
+        const PoolRow pool = poolRowFrom(row(spoilt(toText(s_pool), random)));
+        BOOST_TEST((pool.allocated >= 0 && pool.prepaid >= 0));
+        const HolderRow holder = holderRowFrom(row(spoilt(toText(s_holder), random)));
+        BOOST_TEST((holder.granted >= 0 && holder.settled >= 0));
+        for (const auto &[team, commitment] : checkpointRowFrom(row(spoilt(checkpoint, random))).own.teams) {
+            BOOST_TEST(commitment.most(1e6) >= 0);
+        }
+    }
+    const std::string nested(200'000, '[');
+    BOOST_TEST(holderRowFrom(row(nested)).granted == 0);
+    BOOST_TEST(checkpointRowFrom(row(nested)).own.incarnation.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
