A row of the table of routers that names no address, or a time far ahead, is no router

Cause: any key counted as a router's address and any number as its beat. Such a row would be counted among the routers that share budgets and retries, connected to by name and asked for loans by every router, for as long as it stands; a beat of years to come, or one that overflows, would stand for ever. Change: the key has to be an address, the beat within the silence allowed, either way. One log line a row that cannot be read.

--- a/src/membership/routerregistry.h
+++ b/src/membership/routerregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock/steadytime.h"
+#include "net/endpoint.h"
 #include "net/pause.h"
 #include "operations/log.h"
 #include "store/rowstore.h"
@@ -118,11 +119,7 @@
         m_storeTimeAt = steadyNow();
         std::vector<std::string> live;
         for (const StoredRow &row : read->rows) {
-            StoreTimeMs beat = 0;
-            const bool valid = absl::SimpleAtoi(row.value, &beat);
-            const Duration age = std::chrono::milliseconds(read->storeTime - beat);
-            // A row written before the router knew the store's time counts as just written.
-            if (valid && (beat == 0 || age <= m_options.silence)) {
+            if (lives(row, read->storeTime)) {
                 live.push_back(row.address.key);
             }
         }
@@ -138,6 +135,24 @@
         co_return true;
     }
 
+    /// Whether a row names a router that lives. One that names no address, or a time that is none or far ahead, comes from somewhere else:
+    /// it would be counted, connected to and asked for loans by every router for as long as it stands.
+    bool lives(const StoredRow &row, StoreTimeMs now) const
+    {
+        StoreTimeMs beat = 0;
+        const bool sound = absl::SimpleAtoi(row.value, &beat) && endpointFrom(row.address.key).has_value();
+        if (!sound) {
+            if (row.version > m_newestSpoilt) {
+                m_newestSpoilt = row.version;
+                logLine(Severity::Error, "routers.row_unreadable", {{"row", row.address.key}});
+            }
+            return false;
+        }
+        const StoreTimeMs silence = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.silence).count();
+        // A row written before the router knew the store's time counts as just written.
+        return beat == 0 || (beat >= now - silence && beat <= now + silence);
+    }
+
     StoreTimeMs storeNowMs() const
     {
         if (m_storeTime == 0) {
@@ -151,6 +166,8 @@
     StoreTimeMs m_storeTime = 0;
     Instant m_storeTimeAt{};
     std::size_t m_routers = 1;
+    /// Of the rows that cannot be read, the newest that the log has told of.
+    mutable std::uint64_t m_newestSpoilt = 0;
     bool m_counted = false;
     bool m_leaving = false;
 };
