What routers and relays, and tests, stated twice stands once

Tidying: the longest load message and the pause after a failed receive stood in LoadLink and LoadServer; tests of the quarantine had a store each over the same rows in memory, and three tests sent the same three copies. Change: routing/loadmessages.h, tests/sharedrows.h, Scene::crashThree. No check changed.

--- a/src/routing/loadlink.cpp
+++ b/src/routing/loadlink.cpp
@@ -6,6 +6,7 @@
 #include "net/endpoint.h"
 #include "net/pause.h"
 #include "operations/log.h"
+#include "routing/loadmessages.h"
 #include "routing/stablehash.h"
 
 #include <absl/strings/str_cat.h>
@@ -26,10 +27,6 @@
 namespace asio = boost::asio;
 
 constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
-/// More than any message between routers and relays has.
-constexpr std::size_t s_longestMessage = 256;
-/// After a failed receive: most likely a datagram to a host without a relay came back as unreachable.
-constexpr Duration s_failurePause = std::chrono::milliseconds(5);
 /// The newest round trip's share in the mean is one in this many.
 constexpr int s_roundTripWeight = 8;
 /// Relays remembered at most; those of targets that are gone are forgotten together.
@@ -175,12 +172,12 @@
 
 asio::awaitable<void> LoadLink::receive()
 {
-    std::array<char, s_longestMessage> message{};
+    std::array<char, s_longestLoadMessage> message{};
     asio::ip::udp::endpoint from;
     while (m_socket.is_open()) {
         auto [error, size] = co_await m_socket.async_receive_from(asio::buffer(message), from, s_tuple);
         if (error) {
-            co_await pause(s_failurePause);
+            co_await pause(s_loadFailurePause);
             continue;
         }
         answered(std::span<const char>(message).first(size));
--- a/src/routing/loadserver.cpp
+++ b/src/routing/loadserver.cpp
@@ -5,6 +5,7 @@
 #include "link/link.pb.h"
 #include "net/pause.h"
 #include "operations/log.h"
+#include "routing/loadmessages.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
@@ -23,10 +24,6 @@
 namespace asio = boost::asio;
 
 constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
-/// More than any message between routers and relays has.
-constexpr std::size_t s_longestMessage = 256;
-/// After a failed receive: most likely the answer to a router that is gone came back as unreachable.
-constexpr Duration s_failurePause = std::chrono::milliseconds(5);
 
 }
 
@@ -60,14 +57,14 @@
 
 asio::awaitable<void> LoadServer::serve()
 {
-    std::array<char, s_longestMessage> message{};
+    std::array<char, s_longestLoadMessage> message{};
     asio::ip::udp::endpoint from;
     wire::LoadNote note;
     wire::LoadAnswer answer;
     while (m_socket.is_open()) {
         auto [error, size] = co_await m_socket.async_receive_from(asio::buffer(message), from, s_tuple);
         if (error) {
-            co_await pause(s_failurePause);
+            co_await pause(s_loadFailurePause);
             continue;
         }
         if (!note.ParseFromArray(message.data(), static_cast<int>(size))) {
--- a/src/tests/poisonrequesttest.cpp
+++ b/src/tests/poisonrequesttest.cpp
@@ -1,8 +1,8 @@
 #include "gateway/peerhelp.h"
 
 #include "net/pause.h"
-#include "store/memoryrows.h"
 #include "tests/scriptedpeer.h"
+#include "tests/sharedrows.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
@@ -84,27 +84,6 @@
                         std::string(body));
 }
 
-/// The store that all routers share.
-struct SharedRows {
-    asio::awaitable<absl::StatusOr<RowVerdict>> transact(const RowTransaction &transaction)
-    {
-        co_return rows.transact(transaction, now);
-    }
-
-    asio::awaitable<absl::StatusOr<RowsRead>> read(const std::string &table, const std::string &part)
-    {
-        co_return rows.read(table, part, now);
-    }
-
-    asio::awaitable<absl::StatusOr<RowsFeed>> follow(const std::string &table, std::uint64_t version, Duration)
-    {
-        co_return rows.changesSince(table, version);
-    }
-
-    MemoryRows rows;
-    StoreTimeMs now = 1000;
-};
-
 /// A router with a link to its peers.
 struct RouterUnderTest {
     RouterUnderTest(WorkerPool &pool, std::size_t number, SharedRows &rows)
@@ -218,6 +197,15 @@
         }
     }
 
+    /// Three copies, by way of as many routers, crash a target each.
+    asio::awaitable<void> crashThree(Duration between)
+    {
+        for (std::size_t copy = 0; copy < s_mostCrashed; ++copy) {
+            co_await send(copy % s_routers, draftRequest(absl::StrCat("early-", copy), s_poison));
+            co_await pause(between);
+        }
+    }
+
     std::size_t crashed() const
     {
         return std::ranges::count_if(m_targets, [](const auto &target) {
@@ -256,9 +244,7 @@
     scene.play([&]() -> asio::awaitable<void> {
         // Links between routers are made in the background.
         co_await pause(s_spreadTime);
-        for (std::size_t copy = 0; copy < s_mostCrashed; ++copy) {
-            co_await scene.send(copy % s_routers, draftRequest(absl::StrCat("early-", copy), s_poison));
-        }
+        co_await scene.crashThree(Duration::zero());
         BOOST_TEST(scene.crashed() == s_mostCrashed);
         co_await pause(s_spreadTime);
         for (std::size_t router = 0; router < s_routers; ++router) {
@@ -294,10 +280,7 @@
     scene.lingerAfterCrashes(s_spreadTime / 10);
     scene.play([&]() -> asio::awaitable<void> {
         co_await pause(s_spreadTime);
-        for (std::size_t copy = 0; copy < s_mostCrashed; ++copy) {
-            co_await scene.send(copy % s_routers, draftRequest(absl::StrCat("early-", copy), s_poison));
-            co_await pause(s_spreadTime);
-        }
+        co_await scene.crashThree(s_spreadTime);
         for (std::size_t router = 0; router < s_routers; ++router) {
             const std::string answer = co_await scene.send(router, draftRequest(absl::StrCat("late-", router), s_poison));
             BOOST_TEST(answer.starts_with("HTTP/1.1 503 "), answer);
@@ -333,9 +316,7 @@
     Scene scene;
     scene.play([&]() -> asio::awaitable<void> {
         co_await pause(s_spreadTime);
-        for (std::size_t copy = 0; copy < s_mostCrashed; ++copy) {
-            co_await scene.send(copy % s_routers, draftRequest(absl::StrCat("early-", copy), s_poison));
-        }
+        co_await scene.crashThree(Duration::zero());
         co_await pause(s_spreadTime);
         for (std::size_t router = 0; router < s_routers; ++router) {
             const std::string answer = co_await scene.send(router, draftRequest(absl::StrCat("sound-", router), "draft block 9"));
--- a/src/tests/quarantinekeepertest.cpp
+++ b/src/tests/quarantinekeepertest.cpp
@@ -1,7 +1,6 @@
 #include "quarantine/quarantinekeeper.h"
 
-#include "failure/failure.h"
-#include "store/memoryrows.h"
+#include "tests/sharedrows.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,44 +23,16 @@
     return pair(body).front();
 }
 
-/// The store that all routers share, in a time that the test sets.
-struct SharedRows {
-    boost::asio::awaitable<absl::StatusOr<RowVerdict>> transact(const RowTransaction &transaction)
-    {
-        ++writes;
-        co_return rows.transact(transaction, now);
-    }
-
-    boost::asio::awaitable<absl::StatusOr<RowsRead>> read(const std::string &table, const std::string &part)
-    {
-        if (older) {
-            co_return *older;
-        }
-        co_return rows.read(table, part, now);
-    }
-
-    boost::asio::awaitable<absl::StatusOr<RowsFeed>> follow(const std::string &, std::uint64_t, Duration)
-    {
-        co_return failed(FailureKind::TableUnreachable, "not used here");
-    }
-
-    void put(std::string key, std::optional<std::string> value)
-    {
-        (void)rows.transact(
-            {.changes = {{.address = {.table = "quarantine", .part = "", .key = std::move(key)}, .value = std::move(value)}}}, now);
-    }
-
-    std::size_t size() const
-    {
-        return rows.read("quarantine", "", now).rows.size();
-    }
+RowAddress addressOf(std::string key)
+{
+    return {.table = "quarantine", .part = "", .key = std::move(key)};
+}
 
-    MemoryRows rows;
-    StoreTimeMs now = 5'000'000;
-    int writes = 0;
-    /// An answer that the store gave a while ago and gives again.
-    std::optional<RowsRead> older;
-};
+/// Rows of the quarantine in the store.
+std::size_t kept(const SharedRows &rows)
+{
+    return rows.rows.read("quarantine", "", rows.now).kept(rows);
+}
 
 /// One router's part in it.
 struct Router {
@@ -150,7 +121,7 @@
     BOOST_TEST(other.guard.heldFor(pair("unlucky")).has_value());
     one.guard.answered(pair("unlucky"));
     one.synchronise();
-    BOOST_TEST(rows.size() == 0U);
+    BOOST_TEST(kept(rows) == 0U);
     other.synchronise();
     BOOST_TEST(!other.guard.heldFor(pair("unlucky")).has_value());
     one.synchronise();
@@ -166,7 +137,7 @@
     router.crashThree(request("poison"));
     router.synchronise();
     router.synchronise();
-    rows.put(request("poison").text(), std::nullopt);
+    rows.put(addressOf(request("poison").text()), std::nullopt);
     router.synchronise();
     BOOST_TEST(!router.guard.heldFor(pair("poison")).has_value());
 }
@@ -191,10 +162,10 @@
     SharedRows rows;
     for (const char *spoilt :
          {"", "[]", "{}", "{\"until_ms\":\"x\",\"terms\":1}", "{\"until_ms\":9e99,\"terms\":1}", "{\"until_ms\":5,\"terms\":-1}"}) {
-        rows.put(request(spoilt).text(), spoilt);
+        rows.put(addressOf(request(spoilt).text()), spoilt);
     }
-    rows.put("no fingerprint", "{\"until_ms\":99000000,\"terms\":1}");
-    rows.put(request("far").text(), "{\"until_ms\":9223372036854775807,\"terms\":1}");
+    rows.put(addressOf("no fingerprint"), "{\"until_ms\":99000000,\"terms\":1}");
+    rows.put(addressOf(request("far").text()), "{\"until_ms\":9223372036854775807,\"terms\":1}");
     Router router(rows);
     router.synchronise();
     BOOST_REQUIRE(router.guard.quarantine().entries().size() == 1U);
@@ -206,18 +177,18 @@
 {
     SharedRows rows;
     for (int number = 0; number < 300; ++number) {
-        rows.put(request(std::to_string(number)).text(), toText({.until = rows.now + number, .terms = 1}));
+        rows.put(addressOf(request(std::to_string(number)).text()), toText({.until = rows.now + number, .terms = 1}));
     }
     Router router(rows);
     for (int round = 0; round < 10; ++round) {
         router.synchronise();
     }
-    BOOST_TEST(rows.size() == router.guard.quarantine().options().mostEntries);
+    BOOST_TEST(kept(rows) == router.guard.quarantine().options().mostEntries);
     rows.now += std::chrono::milliseconds(std::chrono::hours(25)).count();
     for (int round = 0; round < 10; ++round) {
         router.synchronise();
     }
-    BOOST_TEST(rows.size() == 0U);
+    BOOST_TEST(kept(rows) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(anyBytesAreReadOrRefused)
