--- a/src/tests/quarantinekeepertest.cpp
+++ b/src/tests/quarantinekeepertest.cpp
@@ -31,7 +31,7 @@
 /// Rows of the quarantine in the store.
 std::size_t kept(const SharedRows &rows)
 {
-    return rows.rows.read("quarantine", "", rows.now).kept(rows);
+    return rows.rows.read("quarantine", "", rows.now).rows.size();
 }
 
 /// One router's part in it.
