A request that is held back by chance is tried and acquitted, and callers that leave early leave a witness

Cause: the verdict rests on crashes in a row without an answer, and nothing gave an answer a chance. Ruled out: a shorter term for all (every copy of the cause passes when it ends, on all routers at once); one router that owns the trials of a request (a caller's copies may never reach it). Acquittals of mere suspects are counted, not logged.

--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -77,6 +77,9 @@
     }
     const absl::Status reserved = co_await reserve();
     if (!reserved.ok()) {
+        if (m_onTrial) {
+            m_gateway.m_guard.trialNotRun(fingerprints());
+        }
         co_await refuse(toFailure(reserved));
         co_return;
     }
@@ -89,6 +92,9 @@
     });
     const AttemptEnd end = co_await attempts();
     settle(end);
+    if (m_onTrial && m_ran == 0) {
+        m_gateway.m_guard.trialNotRun(fingerprints());
+    }
     co_await finish(end);
 }
 
@@ -116,9 +122,6 @@
         m_team = team->name;
         m_priority = team->priority.value_or(m_priority);
     }
-    if (const absl::Status held = heldBack(); !held.ok()) {
-        return held;
-    }
     if (m_gateway.m_end && m_arrived + allowanceForEnd(*m_route, m_terms, *m_gateway.m_end - m_arrived) > *m_gateway.m_end) {
         return toStatus(
             {.kind = FailureKind::Draining, .detail = "this router ends before the request would", .retryAfterMs = s_retryAfterDrainMs});
@@ -129,6 +132,9 @@
                          .detail = "this router is overloaded",
                          .retryAfterMs = soon ? s_retryElsewhereMs : s_retryAfterRotationMs});
     }
+    if (const absl::Status held = heldBack(); !held.ok()) {
+        return held;
+    }
     m_countedStream = m_route->repeatability == Repeatability::Stream;
     m_gateway.m_streamsInFlight += m_countedStream ? 1 : 0;
     m_serviceName = m_gateway.chooseService(*m_route);
@@ -243,7 +249,8 @@
     if (ran && (!m_route->repeatable() || m_ran >= m_route->maxAttempts)) {
         return false;
     }
-    if (heldBackFor()) {
+    const bool triesElsewhere = m_onTrial && !ran;
+    if (!triesElsewhere && heldBackFor()) {
         m_lastProblem.append("; targets crashed under this request");
         return false;
     }
@@ -529,6 +536,10 @@
     if (!held) {
         return absl::OkStatus();
     }
+    m_onTrial = m_gateway.m_guard.beginTrial(fingerprints());
+    if (m_onTrial) {
+        return absl::OkStatus();
+    }
     return toStatus({.kind = FailureKind::Quarantined, .detail = "targets crashed under this request", .retryAfterMs = inMs(*held)});
 }
 
@@ -537,10 +548,12 @@
     if (!m_gateway.m_options.quarantines) {
         return;
     }
-    if (m_brokeOff && end != AttemptEnd::NotRun && end != AttemptEnd::TimedOut) {
+    // A caller that leaves before the first byte leaves nothing behind whose end would tell of a crash, so the target is asked then, too.
+    const bool leftEarly = end == AttemptEnd::CallerLeft && !m_firstByte;
+    if (leftEarly || (m_brokeOff && end != AttemptEnd::NotRun && end != AttemptEnd::TimedOut)) {
         m_gateway.m_guard.brokeOff(m_placement->incarnation, m_placement->address, fingerprints());
     } else if (end == AttemptEnd::CallerLeft) {
-        m_gateway.m_guard.left(m_placement->incarnation, fingerprints());
+        m_gateway.m_guard.left(m_placement->incarnation, m_placement->address, fingerprints());
     }
 }
 
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -105,6 +105,8 @@
     bool m_attemptBegun = false;
     /// When the running attempt was sent, or the last bytes of it came.
     Instant m_lastHeard{};
+    /// Held back, and let through to see whether it still crashes targets.
+    bool m_onTrial = false;
     /// The running attempt's answer says that the request was served.
     bool m_succeeded = false;
     /// The running attempt lost its connection before its answer was whole.
--- a/src/measure/capacity.cpp
+++ b/src/measure/capacity.cpp
@@ -211,6 +211,7 @@
         const double all = microseconds([&] {
             for (int choice = 0; choice < choices; ++choice) {
                 std::vector<PromptPart> prompt;
+                prompt.reserve(parts);
                 for (int part = 0; part < parts; ++part) {
                     prompt.push_back({.id = ++draw, .tokens = 500});
                 }
--- a/src/quarantine/poisonguard.cpp
+++ b/src/quarantine/poisonguard.cpp
@@ -106,8 +106,13 @@
     co_return error == boost::asio::error::connection_refused;
 }
 
-void PoisonGuard::left(const std::string &incarnation, const FingerprintPair &fingerprints)
+void PoisonGuard::left(const std::string &incarnation, const std::string &address, const FingerprintPair &fingerprints)
 {
+    if (m_quarantine.knows(fingerprints.front())) {
+        // It was there at a crash before: the target is asked, as the router may have no other connection there whose end would tell.
+        brokeOff(incarnation, address, fingerprints);
+        return;
+    }
     m_watch.left(incarnation, fingerprints, steadyNow());
 }
 
@@ -124,8 +129,8 @@
                 {{"fingerprint", fingerprint.text()},
                  {"target", target},
                  {"crashes", static_cast<std::int64_t>(entry.targets.size())},
-                 {"for_s", inSeconds(entry.until - now)}});
-        m_tellChange({.fingerprint = fingerprint, .remaining = entry.until - now, .terms = entry.terms});
+                 {"for_s", inSeconds(entry.nextTrial - now)}});
+        tell(fingerprint);
         m_acquitted.erase(fingerprint);
         m_decided.notify();
     }
@@ -145,9 +150,11 @@
     if (!m_quarantine.acquit(fingerprint)) {
         return;
     }
-    logLine(Severity::Info, "request.acquitted", {{"fingerprint", fingerprint.text()}, {"was_held", held}});
+    m_metrics.count("acquittals_total", {.name = "state", .value = held ? "held" : "suspected"});
     m_tellChange({.fingerprint = fingerprint});
+    // Suspects are many after a crash, and most are acquitted by their caller's next try.
     if (held) {
+        logLine(Severity::Info, "request.acquitted", {{"fingerprint", fingerprint.text()}, {"by", "an answer"}});
         m_acquitted.insert(fingerprint);
         m_decided.notify();
     }
@@ -164,6 +171,40 @@
     return longest;
 }
 
+void PoisonGuard::tell(const RequestFingerprint &fingerprint) const
+{
+    const auto found = m_quarantine.entries().find(fingerprint);
+    if (found != m_quarantine.entries().end()) {
+        const Quarantine::Entry &entry = found->second;
+        m_tellChange(
+            {.fingerprint = fingerprint, .remaining = entry.nextTrial - steadyNow(), .terms = entry.terms, .trials = entry.trials});
+    }
+}
+
+bool PoisonGuard::beginTrial(const FingerprintPair &fingerprints)
+{
+    const Instant now = steadyNow();
+    const bool due = std::ranges::all_of(fingerprints, [&](const RequestFingerprint &fingerprint) {
+        return !m_quarantine.entries().contains(fingerprint) || m_quarantine.mayTry(fingerprint, now);
+    });
+    if (!due) {
+        return false;
+    }
+    for (const RequestFingerprint &fingerprint : fingerprints) {
+        m_quarantine.beginTrial(fingerprint, now);
+        tell(fingerprint);
+    }
+    logLine(Severity::Info, "request.on_trial", {{"fingerprint", fingerprints.front().text()}});
+    return true;
+}
+
+void PoisonGuard::trialNotRun(const FingerprintPair &fingerprints)
+{
+    for (const RequestFingerprint &fingerprint : fingerprints) {
+        m_quarantine.trialNotRun(fingerprint, steadyNow());
+    }
+}
+
 void PoisonGuard::peerSawCrash(const CrashReport &report)
 {
     m_metrics.count("crash_reports_total", {.name = "from", .value = "peer"});
@@ -181,13 +222,16 @@
 {
     const Instant now = steadyNow();
     const bool lifts = change.terms == 0;
-    const bool isNew =
-        lifts ? m_quarantine.acquit(change.fingerprint) : m_quarantine.learn(change.fingerprint, now + change.remaining, change.terms, now);
+    const bool held = m_quarantine.entries().contains(change.fingerprint);
+    const Quarantine::Standing standing{.nextTrial = now + change.remaining, .terms = change.terms, .trials = change.trials};
+    const bool isNew = lifts ? m_quarantine.acquit(change.fingerprint) : m_quarantine.learn(change.fingerprint, standing, now);
     if (isNew) {
+        count();
+    }
+    if (isNew && (held || !lifts)) {
         logLine(Severity::Info,
                 lifts ? "request.acquitted" : "request.quarantined",
                 {{"fingerprint", change.fingerprint.text()}, {"by", from}, {"for_s", inSeconds(change.remaining)}});
-        count();
     }
 }
 
--- a/src/quarantine/poisonguard.h
+++ b/src/quarantine/poisonguard.h
@@ -27,10 +27,11 @@
 /// A request is held back from now on, or is not any more.
 struct QuarantineChange {
     RequestFingerprint fingerprint;
-    /// How much longer; negative once its time is over and one more crash would put it back.
+    /// Until its next trial; negative once that may begin.
     Duration remaining{};
-    /// Times that it was put there; 0: nothing speaks against it any more.
+    /// See Quarantine::Entry; 0: nothing speaks against it any more.
     unsigned terms = 0;
+    unsigned trials = 0;
 };
 
 /// Keeps requests that crash the targets they run on from reaching more of them.
@@ -52,7 +53,7 @@
     void brokeOff(const std::string &incarnation, const std::string &address, const FingerprintPair &fingerprints);
 
     /// A caller left while its request was under way at a target.
-    void left(const std::string &incarnation, const FingerprintPair &fingerprints);
+    void left(const std::string &incarnation, const std::string &address, const FingerprintPair &fingerprints);
 
     /// A request was answered whole.
     void answered(const FingerprintPair &fingerprints);
@@ -63,9 +64,16 @@
         return m_quarantine.mayKnow(addressHash);
     }
 
-    /// How much longer the request is held back; none when it is not.
+    /// How long until the request may be tried again; none when it is not held back.
     std::optional<Duration> heldFor(const FingerprintPair &fingerprints) const;
 
+    /// Lets a copy of a held request through if a trial is due, and tells the peers, so that copies that arrive elsewhere do not go through
+    /// as well.
+    bool beginTrial(const FingerprintPair &fingerprints);
+
+    /// The copy on trial reached no target.
+    void trialNotRun(const FingerprintPair &fingerprints);
+
     /// A peer saw a target crash.
     void peerSawCrash(const CrashReport &report);
 
@@ -81,7 +89,7 @@
         return m_quarantine;
     }
 
-    /// Requests acquitted here whose rows in the store have to go.
+    /// Requests that were held back and acquitted here, which the store has to be told.
     std::set<RequestFingerprint> &acquitted()
     {
         return m_acquitted;
@@ -98,6 +106,7 @@
     boost::asio::awaitable<bool> refuses(std::string address);
     void report(const CrashReport &crash, std::string_view target);
     void acquit(const RequestFingerprint &fingerprint);
+    void tell(const RequestFingerprint &fingerprint) const;
     void count() const;
 
     boost::asio::any_io_executor m_executor;
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/quarantine.h"
 
+#include "routing/stablehash.h"
+
 #include <boost/endian/conversion.hpp>
 
 #include <algorithm>
@@ -13,6 +15,8 @@
 constexpr std::size_t s_mostTargets = 8;
 /// Reports of one crash come from every router that had something there, within this time.
 constexpr Duration s_reportTime = std::chrono::seconds(1);
+/// Told to a caller whose copy might be the next on trial, but was not; and the pause after a trial that reached no target.
+constexpr Duration s_shortestWait = std::chrono::seconds(1);
 
 void addTarget(std::vector<std::uint64_t> &targets, std::uint64_t target)
 {
@@ -21,6 +25,15 @@
     }
 }
 
+/// A wait of its own for each request: those held back by the same crashes would all be tried at the same moment, on several routers,
+/// before any has heard of the others' trials.
+Duration slotOf(const RequestFingerprint &fingerprint)
+{
+    constexpr std::uint64_t slots = 8;
+    constexpr Duration slot = std::chrono::milliseconds(250);
+    return static_cast<std::int64_t>(mixed(stableHash(fingerprint.bytes())) % slots) * slot;
+}
+
 /// The first fingerprint in order that a request of this address can have.
 RequestFingerprint lowestOf(std::uint64_t addressHash)
 {
@@ -61,9 +74,12 @@
         if (const auto known = m_entries.find(fingerprint); known != m_entries.end()) {
             Entry &entry = known->second;
             addTarget(entry.targets, target);
-            // Copies that were under way when it was first held back change nothing; one that was let through later does.
-            if (now >= entry.until) {
-                entry = {.until = now + m_options.laterTerm, .terms = entry.terms + 1, .targets = std::move(entry.targets), .since = now};
+            // Copies that were under way when it was first held back change nothing; one on trial does.
+            if (entry.trialAt && now - *entry.trialAt <= s_trialTime) {
+                entry.trialAt.reset();
+                ++entry.terms;
+                entry.nextTrial = now + termOf(entry);
+                trialDecided(fingerprint);
                 held.push_back(fingerprint);
             }
             continue;
@@ -72,7 +88,10 @@
         addTarget(suspect.targets, target);
         suspect.last = now;
         if (suspected(suspect, now)) {
-            m_entries[fingerprint] = {.until = now + m_options.firstTerm, .terms = 1, .targets = std::move(suspect.targets), .since = now};
+            m_entries[fingerprint] = {.nextTrial = now + m_options.firstTrial + slotOf(fingerprint),
+                                      .terms = 1,
+                                      .targets = std::move(suspect.targets),
+                                      .since = now};
             m_suspects.erase(fingerprint);
             held.push_back(fingerprint);
         }
@@ -104,29 +123,36 @@
 
 bool Quarantine::acquit(const RequestFingerprint &fingerprint)
 {
+    trialDecided(fingerprint);
     const bool suspected = m_suspects.erase(fingerprint) > 0;
     const bool held = m_entries.erase(fingerprint) > 0;
     return suspected || held;
 }
 
-bool Quarantine::learn(const RequestFingerprint &fingerprint, Instant until, unsigned terms, Instant now)
+bool Quarantine::learn(const RequestFingerprint &fingerprint, const Standing &standing, Instant now)
 {
-    const auto [known, isNew] = m_entries.try_emplace(fingerprint, Entry{.until = until, .terms = terms, .since = now});
+    const auto [known, isNew] = m_entries.try_emplace(fingerprint, Entry{.since = now});
+    Entry &entry = known->second;
+    const bool longer = standing.terms > entry.terms;
+    if (longer) {
+        trialDecided(fingerprint);
+    } else if (standing.terms == entry.terms && standing.trials > entry.trials) {
+        m_onTrial = fingerprint;
+        m_trialEnds = now + s_trialTime;
+    }
+    if (standing.terms >= entry.terms) {
+        entry.nextTrial = std::max(entry.nextTrial, standing.nextTrial);
+        entry.trials = std::max(entry.trials, standing.trials);
+        entry.terms = standing.terms;
+    }
     if (isNew) {
         if (const auto suspect = m_suspects.find(fingerprint); suspect != m_suspects.end()) {
-            known->second.targets = std::move(suspect->second.targets);
+            entry.targets = std::move(suspect->second.targets);
             m_suspects.erase(suspect);
         }
         boundEntries();
-        return true;
     }
-    Entry &entry = known->second;
-    if (terms <= entry.terms) {
-        return false;
-    }
-    entry.until = std::max(entry.until, until);
-    entry.terms = terms;
-    return true;
+    return isNew || longer;
 }
 
 bool Quarantine::mayKnow(std::uint64_t addressHash) const
@@ -137,10 +163,56 @@
 std::optional<Duration> Quarantine::heldFor(const RequestFingerprint &fingerprint, Instant now) const
 {
     const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || now >= found->second.until) {
+    if (found == m_entries.end()) {
         return std::nullopt;
     }
-    return found->second.until - now;
+    return std::max(found->second.nextTrial - now, s_shortestWait);
+}
+
+bool Quarantine::mayTry(const RequestFingerprint &fingerprint, Instant now) const
+{
+    const auto found = m_entries.find(fingerprint);
+    const bool due = found != m_entries.end() && now >= found->second.nextTrial;
+    return due && (!m_onTrial || now >= m_trialEnds);
+}
+
+Duration Quarantine::termOf(const Entry &entry) const
+{
+    return entry.terms > 2 ? m_options.laterTerm : m_options.firstTerm;
+}
+
+void Quarantine::trialDecided(const RequestFingerprint &fingerprint)
+{
+    if (m_onTrial == fingerprint) {
+        m_onTrial.reset();
+    }
+}
+
+void Quarantine::beginTrial(const RequestFingerprint &fingerprint, Instant now)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end()) {
+        return;
+    }
+    Entry &entry = found->second;
+    ++entry.trials;
+    entry.trialAt = now;
+    entry.nextTrial = now + (entry.trials < m_options.earlyTrials ? s_trialTime : termOf(entry));
+    m_onTrial = fingerprint;
+    m_trialEnds = now + s_trialTime;
+}
+
+void Quarantine::trialNotRun(const RequestFingerprint &fingerprint, Instant now)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || !found->second.trialAt) {
+        return;
+    }
+    trialDecided(fingerprint);
+    Entry &entry = found->second;
+    entry.trials -= std::min(entry.trials, 1U);
+    entry.trialAt.reset();
+    entry.nextTrial = now + s_shortestWait;
 }
 
 void Quarantine::expire(Instant now)
@@ -148,9 +220,8 @@
     std::erase_if(m_suspects, [&](const auto &suspect) {
         return now - suspect.second.last > m_options.memory;
     });
-    // For a while after its time one more crash puts a request back at once.
     std::erase_if(m_entries, [&](const auto &entry) {
-        return now - entry.second.until >= s_longestTerm;
+        return now - entry.second.nextTrial >= s_longestTerm;
     });
 }
 
@@ -186,7 +257,7 @@
 {
     while (m_entries.size() > m_options.mostEntries) {
         m_entries.erase(std::ranges::min_element(m_entries, {}, [](const auto &entry) {
-            return entry.second.until;
+            return entry.second.nextTrial;
         }));
     }
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -11,45 +11,57 @@
 
 namespace bamboohold {
 
-/// Which requests crash the targets that run them, by what was under way each time a target crashed, and for how long they are held back.
+/// Which requests crash the targets that run them, by what was under way each time a target crashed.
 ///
 /// Pure, and the same in every router: it is told of each crash that any router saw. A request that was under way when one target crashed
 /// may have been there by chance; so may one that was there twice, since callers try again. One that was there at several crashes in a row
-/// and was never answered in between is taken for their cause. A whole answer acquits it: a request that crashes targets gets none.
+/// and was never answered in between is held back, as their most likely cause. A whole answer acquits it: a request that crashes targets
+/// gets none.
+///
+/// Where all targets crash within a second, whatever is under way everywhere is held back with the cause. So one copy is soon let through
+/// on trial: a request that did nothing is answered and acquitted, the cause crashes one target more and is kept.
 class Quarantine
 {
 public:
-    /// No request is held back for longer at a time, and none is remembered for longer after its time.
+    /// No request waits longer for its next trial, and none is remembered for longer when nobody sends it any more.
     static constexpr Duration s_longestTerm = std::chrono::hours(24);
+    /// A trial is decided by then, or came to nothing: its caller left, or its target lost the answer.
+    static constexpr Duration s_trialTime = std::chrono::seconds(3);
 
     struct Options {
         /// Crashes in a row after which a request is held back.
         std::size_t crashes = 3;
-        /// How long it is held back at first, and again once it has crashed another target after that. The first term is short because
-        /// chance can bring a request here: where many targets crash of something else, a caller that tries again and again may be cut
-        /// three times. It is served then; a request that is the cause costs one target more.
+        /// Until the first trial, besides a wait of each request's own of less than two seconds: the reports of the crashes are in by then.
+        Duration firstTrial = std::chrono::seconds(1);
+        /// Trials in quick succession, as long as none is decided. No more: each may cost a target.
+        unsigned earlyTrials = 2;
+        /// Between later trials, and once a trial has crashed a target: it may have crashed of something else.
         Duration firstTerm = std::chrono::minutes(10);
+        /// And once two have.
         Duration laterTerm = s_longestTerm;
         /// A crash is remembered for this long.
         Duration memory = std::chrono::hours(1);
         /// Fingerprints that were under way at crashes; beyond, the ones longest past are forgotten. 96 requests a target and 40 crashes
         /// within the memory fill it, with some 1 MB.
         std::size_t mostSuspects = 8192;
-        /// Fingerprints that are held back, or were a while ago. Rows in the store, so that one read brings them all.
+        /// Fingerprints that are held back. Rows in the store, so that one read brings them all.
         std::size_t mostEntries = 256;
     };
 
-    /// A request that is held back, or was.
+    /// A request that is held back.
     struct Entry {
-        /// Afterwards one copy may show whether it still crashes targets.
-        Instant until{};
-        /// Times that it was put here.
+        /// From then on one copy may show whether it still crashes targets.
+        Instant nextTrial{};
+        /// 1 until a trial has crashed a target, and one more each time that one does.
         unsigned terms = 0;
         /// The targets that crashed under it.
         std::vector<std::uint64_t> targets;
         Instant since{};
         /// The store has it.
         bool stored = false;
+        /// Trials so far, on any router, and when this router's own began that is under way.
+        unsigned trials = 0;
+        std::optional<Instant> trialAt;
     };
 
     using Entries = std::map<RequestFingerprint, Entry>;
@@ -60,20 +72,43 @@
     Quarantine();
     explicit Quarantine(Options options);
 
-    /// A target crashed, named by a hash of its incarnation, with these under way among others. Returns those that are held back from now
-    /// on because of it.
+    /// A target crashed, named by a hash of its incarnation, with these under way among others. Returns those that are held back, or held
+    /// back for longer, from now on because of it.
     std::vector<RequestFingerprint> crashed(std::uint64_t target, std::span<const RequestFingerprint> underWay, Instant now);
 
     /// Takes all back that speaks against a request: it was answered whole, or a peer knows that it was. True when there was anything.
     bool acquit(const RequestFingerprint &fingerprint);
 
-    /// A peer or the store holds a request back until then. True when that is new.
-    bool learn(const RequestFingerprint &fingerprint, Instant until, unsigned terms, Instant now);
+    /// What others know of a request that is held back; see Entry.
+    struct Standing {
+        Instant nextTrial{};
+        unsigned terms = 1;
+        unsigned trials = 0;
+    };
+
+    /// A peer or the store holds a request back. True when that is new, or the request is held back for longer.
+    bool learn(const RequestFingerprint &fingerprint, const Standing &standing, Instant now);
+
+    /// Whether a trial of the request may begin. False for one that is not held back, and while another one is on trial: on one target the
+    /// cause would take it down with itself.
+    bool mayTry(const RequestFingerprint &fingerprint, Instant now) const;
+
+    /// A copy goes through on trial.
+    void beginTrial(const RequestFingerprint &fingerprint, Instant now);
+
+    /// The copy on trial reached no target.
+    void trialNotRun(const RequestFingerprint &fingerprint, Instant now);
 
     /// True when something may speak against a request of this address: only then need its fingerprint be made.
     bool mayKnow(std::uint64_t addressHash) const;
 
-    /// How much longer the request is held back; none when it is not.
+    /// True when the request was there at a crash, and not answered since.
+    bool knows(const RequestFingerprint &fingerprint) const
+    {
+        return m_entries.contains(fingerprint) || m_suspects.contains(fingerprint);
+    }
+
+    /// How long until the next trial of a request that is held back, a second at least; none when it is not held back.
     std::optional<Duration> heldFor(const RequestFingerprint &fingerprint, Instant now) const;
 
     /// Forgets what is long past. Call now and then.
@@ -105,12 +140,17 @@
 
     bool explained(std::uint64_t target, Instant now) const;
     bool suspected(const Suspect &suspect, Instant now) const;
+    Duration termOf(const Entry &entry) const;
+    void trialDecided(const RequestFingerprint &fingerprint);
     void boundSuspects();
     void boundEntries();
 
     Options m_options;
     std::map<RequestFingerprint, Suspect> m_suspects;
     Entries m_entries;
+    /// Whose trial is under way somewhere, and until when it counts as undecided.
+    std::optional<RequestFingerprint> m_onTrial;
+    Instant m_trialEnds{};
 };
 
 }
--- a/src/quarantine/quarantinekeeper.h
+++ b/src/quarantine/quarantinekeeper.h
@@ -75,6 +75,8 @@
 private:
     /// A transaction holds a hundred entries at most, conditions and changes together.
     static constexpr std::size_t s_mostChanges = 40;
+    /// Every router that reaches the store reads it several times within this.
+    static constexpr Duration s_acquittalMemory = std::chrono::minutes(1);
 
     using Entries = Quarantine::Entries;
 
@@ -90,7 +92,9 @@
             takeRow(row, read.storeTime);
         }
         std::erase_if(m_guard.acquitted(), [this](const RequestFingerprint &fingerprint) {
-            return !m_rows.contains(fingerprint);
+            const auto row = m_rows.find(fingerprint);
+            const bool told = row != m_rows.end() && row->second.content.terms == 0;
+            return told || m_guard.quarantine().entries().contains(fingerprint);
         });
         std::vector<RequestFingerprint> lifted;
         for (const auto &[fingerprint, entry] : m_guard.quarantine().entries()) {
@@ -118,15 +122,31 @@
         if (m_guard.acquitted().contains(*fingerprint) || past(*content, storeTime)) {
             return;
         }
-        const Duration remaining = Quarantine::boundedTerm(content->until - storeTime);
+        if (content->terms == 0) {
+            takeAcquittal(*fingerprint, Quarantine::boundedTerm(storeTime - content->nextTrial));
+            return;
+        }
+        const Duration remaining = Quarantine::boundedTerm(content->nextTrial - storeTime);
         m_guard.take({.fingerprint = *fingerprint, .remaining = remaining, .terms = content->terms}, "the store");
         m_guard.quarantine().setStored(*fingerprint);
     }
 
-    /// True for a row that nobody remembers any more.
+    /// Acquitted so long ago. One that was held back since is held back anew.
+    void takeAcquittal(const RequestFingerprint &fingerprint, Duration ago)
+    {
+        const auto entry = m_guard.quarantine().entries().find(fingerprint);
+        if (entry != m_guard.quarantine().entries().end() && entry->second.since < steadyNow() - ago) {
+            m_guard.take({.fingerprint = fingerprint}, "the store");
+        }
+    }
+
+    /// True for a row that nobody needs any more.
     static bool past(const QuarantineRow &row, StoreTimeMs storeTime)
     {
-        return Quarantine::boundedTerm(row.until - storeTime) <= -Quarantine::s_longestTerm;
+        if (row.terms == 0) {
+            return Quarantine::boundedTerm(storeTime - row.nextTrial) > s_acquittalMemory;
+        }
+        return Quarantine::boundedTerm(row.nextTrial - storeTime) <= -Quarantine::s_longestTerm;
     }
 
     RowTransaction missing(const RowsRead &read) const
@@ -142,34 +162,39 @@
         for (const auto &[fingerprint, entry] : m_guard.quarantine().entries()) {
             const auto row = m_rows.find(fingerprint);
             if (row == m_rows.end() || row->second.content.terms < entry.terms) {
-                const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(entry.until - now).count();
-                const QuarantineRow content{.until = read.storeTime + left, .terms = entry.terms};
+                const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(entry.nextTrial - now).count();
+                const QuarantineRow content{.nextTrial = read.storeTime + left, .terms = entry.terms};
                 change(fingerprint, row == m_rows.end() ? 0 : row->second.version, toText(content));
             }
         }
-        const StoreTimeMs oldestKept = oldestKeptUntil();
+        for (const RequestFingerprint &fingerprint : m_guard.acquitted()) {
+            const auto row = m_rows.find(fingerprint);
+            const QuarantineRow content{.nextTrial = read.storeTime, .terms = 0};
+            change(fingerprint, row == m_rows.end() ? 0 : row->second.version, toText(content));
+        }
+        const StoreTimeMs oldestKept = oldestKeptTrial();
         for (const auto &[fingerprint, row] : m_rows) {
-            const bool surplus = row.content.until < oldestKept;
-            if (surplus || m_guard.acquitted().contains(fingerprint) || past(row.content, read.storeTime)) {
+            const bool surplus = row.content.nextTrial < oldestKept || past(row.content, read.storeTime);
+            if (surplus && !m_guard.acquitted().contains(fingerprint)) {
                 change(fingerprint, row.version, std::nullopt);
             }
         }
         return transaction;
     }
 
-    /// Rows whose time is over before this are more than are kept.
-    StoreTimeMs oldestKeptUntil() const
+    /// Rows whose next trial is due before this are more than are kept.
+    StoreTimeMs oldestKeptTrial() const
     {
         const std::size_t most = m_guard.quarantine().options().mostEntries;
         if (m_rows.size() <= most) {
             return 0;
         }
-        std::vector<StoreTimeMs> untils;
+        std::vector<StoreTimeMs> trials;
         for (const auto &[fingerprint, row] : m_rows) {
-            untils.push_back(row.content.until);
+            trials.push_back(row.content.nextTrial);
         }
-        const auto oldest = untils.begin() + static_cast<std::ptrdiff_t>(untils.size() - most);
-        std::ranges::nth_element(untils, oldest);
+        const auto oldest = trials.begin() + static_cast<std::ptrdiff_t>(trials.size() - most);
+        std::ranges::nth_element(trials, oldest);
         return *oldest;
     }
 
--- a/src/quarantine/quarantinenotice.cpp
+++ b/src/quarantine/quarantinenotice.cpp
@@ -20,6 +20,7 @@
     notice.set_fingerprint(std::string(change.fingerprint.bytes()));
     notice.set_remaining_ms(std::chrono::duration_cast<std::chrono::milliseconds>(change.remaining).count());
     notice.set_terms(change.terms);
+    notice.set_trials(change.trials);
     return notice;
 }
 
@@ -43,8 +44,10 @@
         logLine(Severity::Warning, "quarantine.notice_unreadable", {{"bytes", static_cast<std::int64_t>(notice.fingerprint().size())}});
         return std::nullopt;
     }
-    return QuarantineChange{
-        .fingerprint = *fingerprint, .remaining = Quarantine::boundedTerm(notice.remaining_ms()), .terms = notice.terms()};
+    return QuarantineChange{.fingerprint = *fingerprint,
+                            .remaining = Quarantine::boundedTerm(notice.remaining_ms()),
+                            .terms = notice.terms(),
+                            .trials = notice.trials()};
 }
 
 }
--- a/src/quarantine/quarantinerow.cpp
+++ b/src/quarantine/quarantinerow.cpp
@@ -23,7 +23,7 @@
 
 std::string toText(const QuarantineRow &row)
 {
-    return boost::json::serialize(boost::json::object{{"until_ms", row.until}, {"terms", row.terms}});
+    return boost::json::serialize(boost::json::object{{"next_trial_ms", row.nextTrial}, {"terms", row.terms}});
 }
 
 absl::StatusOr<QuarantineRow> quarantineRowFrom(std::string_view text)
@@ -33,12 +33,12 @@
     if (error || !value.is_object()) {
         return failed(FailureKind::InvalidDocument, "a quarantine row that is no object");
     }
-    const std::int64_t until = numberOf(value.get_object(), "until_ms");
+    const std::int64_t nextTrial = numberOf(value.get_object(), "next_trial_ms");
     const std::int64_t terms = numberOf(value.get_object(), "terms");
-    if (until < 0 || terms < 1 || terms > std::numeric_limits<std::int32_t>::max()) {
+    if (nextTrial < 0 || terms < 0 || terms > std::numeric_limits<std::int32_t>::max()) {
         return failed(FailureKind::InvalidDocument, "a quarantine row without a time or a number of terms");
     }
-    return QuarantineRow{.until = until, .terms = static_cast<unsigned>(terms)};
+    return QuarantineRow{.nextTrial = nextTrial, .terms = static_cast<unsigned>(terms)};
 }
 
 }
--- a/src/quarantine/quarantinerow.h
+++ b/src/quarantine/quarantinerow.h
@@ -15,9 +15,10 @@
 
 /// What the store knows of one of them.
 struct QuarantineRow {
-    /// Store time until which it is held back.
-    StoreTimeMs until = 0;
-    /// Times that it was put there.
+    /// Store time from which it may be tried; of one that is held back no longer, when that was found.
+    StoreTimeMs nextTrial = 0;
+    /// See Quarantine::Entry. 0: held back no longer. Such a row stays for a while: a router that has missed the peer's word would
+    /// otherwise take its absence for a row that is still to be written.
     unsigned terms = 1;
 
     bool operator==(const QuarantineRow &) const = default;
