--- a/src/measure/capacity.cpp
+++ b/src/measure/capacity.cpp
@@ -197,6 +197,7 @@
         const double before = heapBytes();
         auto board = std::make_unique<TargetBoard>(TargetBoard::Options{.failureDomain = "domain-0"});
         std::vector<TargetListing> listings;
+        listings.reserve(static_cast<std::size_t>(targets));
         for (int index = 0; index < targets; ++index) {
             listings.push_back({.incarnation = numbered("target-0123456789abcdef-", index),
                                 .service = "drafting",
