A host that is short of time asks no targets about callers that left

What was found while looking, by reckoning only: a host with more callers than time has tens of them leave each second, and since each could start four questions to its target, some 300 connections a second at 180 targets. Change: such a host asks nothing about callers that left.

--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -549,7 +549,9 @@
         return;
     }
     // A caller that leaves before the first byte leaves nothing behind whose end would tell of a crash, so the target is asked then, too.
-    const bool leftEarly = end == AttemptEnd::CallerLeft && !m_firstByte;
+    // Not by a host that is short of time: its callers leave because of that, many a second, and the questions would take what time it has.
+    const bool inTime = m_gateway.m_shedder.share() == 0;
+    const bool leftEarly = inTime && end == AttemptEnd::CallerLeft && !m_firstByte;
     if (leftEarly || (m_brokeOff && end != AttemptEnd::NotRun && end != AttemptEnd::TimedOut)) {
         m_gateway.m_guard.brokeOff(m_placement->incarnation, m_placement->address, fingerprints());
     } else if (end == AttemptEnd::CallerLeft) {
