Evacuated failure domains get nothing new, at any router, until the order is taken back

What callers and operators saw: nothing read the operators' orders. Cause: the orders stand as rows beside the configuration, in a table that routers follow already; only the row of the configuration was taken from it. Ruled out: a watch of its own. The feed of the table would come twice over slow links. Change: one question decides whether a target takes work, TargetBoard::withdrawalOf (leaving, evacuated, unusable). Evacuations keeps the set of domains as of a version of the store; the newest version holds, whether it came by a read, the feed or a peer, so that neither brings an older state back (property test). Routers tell peers of changes, and give the set along with a configuration to a router that starts. A router that does not know is not ready, and its readiness answer says why. A row's key is the order whatever its value; one that names no domain is logged and harms no other. Requests under way at the domain go on. The board also notes which targets are cold or may be, by their record, after a break and after an order is taken back: used by the next commit.

--- /dev/null
+++ b/src/gateway/evacuationfollower.cpp
@@ -0,0 +1,73 @@
+#include "gateway/evacuationfollower.h"
+
+#include "failure/failure.h"
+#include "operations/log.h"
+
+#include <absl/strings/str_join.h>
+
+#include <set>
+#include <utility>
+
+namespace bamboohold {
+
+EvacuationFollower::EvacuationFollower(TargetBoard &board, Metrics &metrics, Options options)
+    : m_board(board)
+    , m_metrics(metrics)
+    , m_options(std::move(options))
+{
+}
+
+std::optional<std::string> EvacuationFollower::domainOf(const StoredRow &row) const
+{
+    absl::StatusOr<std::optional<std::string>> domain = m_options.domainFrom(row);
+    if (!domain.ok()) {
+        logLine(Severity::Error, "evacuation.unreadable", {{"key", row.address.key}, {"detail", toFailure(domain.status()).detail}});
+        return std::nullopt;
+    }
+    return *std::move(domain);
+}
+
+void EvacuationFollower::all(std::span<const StoredRow> rows)
+{
+    std::set<std::string> domains;
+    for (const StoredRow &row : rows) {
+        if (std::optional<std::string> domain = domainOf(row)) {
+            domains.insert(*std::move(domain));
+        }
+    }
+    m_evacuations.readWhole(std::move(domains));
+}
+
+void EvacuationFollower::changed(const StoredRow &row)
+{
+    if (const std::optional<std::string> domain = domainOf(row)) {
+        m_evacuations.changed(*domain, row.version != 0);
+    }
+}
+
+void EvacuationFollower::storeAsOf(std::uint64_t version, Instant now)
+{
+    if (m_evacuations.storeAsOf(version)) {
+        putInForce("store", now);
+        m_options.announce(*inForce());
+    }
+}
+
+void EvacuationFollower::heard(const Evacuations::State &state, Instant now)
+{
+    if (m_evacuations.heard(state)) {
+        putInForce("peer", now);
+    }
+}
+
+void EvacuationFollower::putInForce(std::string_view source, Instant now)
+{
+    const Evacuations::State &state = *inForce();
+    logLine(Severity::Info,
+            "evacuations.in_force",
+            {{"domains", absl::StrJoin(state.domains, ",")}, {"version", static_cast<std::int64_t>(state.version)}, {"source", source}});
+    m_metrics.gauge("domains_evacuated", {.name = "host", .value = m_options.host}, static_cast<std::int64_t>(state.domains.size()));
+    m_board.setEvacuated(state.domains, now);
+}
+
+}
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -55,6 +55,10 @@
         std::string targetTable;
         std::function<absl::StatusOr<RoutingPlan::Content>(const StoredRow &)> planFrom;
         std::function<absl::StatusOr<TargetListing>(const StoredRow &)> listingFrom;
+        /// Orders to evacuate failure domains stand in the configuration's table; see EvacuationFollower.
+        std::function<absl::StatusOr<std::optional<std::string>>(const StoredRow &)> evacuationFrom = [](const StoredRow &) {
+            return std::optional<std::string>();
+        };
         /// Opens the store by way of a relay beside a target; empty where no relays run.
         typename Relayed::OpenDetour openDetour;
         Mechanisms mechanisms;
@@ -74,7 +78,8 @@
         , m_keeper(m_executor, m_store, m_ledger, {.routers = countedRouters()})
         , m_gateway(m_executor, gatewayOptions(), m_ledger, m_metrics)
         , m_loads(m_executor, {.incarnation = m_options.incarnation, .address = m_options.link.address})
-        , m_help(m_link, m_store, m_ledger, m_gateway, documentTaker())
+        , m_evacuations(m_gateway.board(), m_metrics, evacuationOptions())
+        , m_help(m_link, m_store, m_ledger, m_gateway, m_evacuations, documentTaker())
         , m_quarantine(m_store, m_gateway.guard())
         , m_targetFollower(
               m_gateway.board(), m_detours, m_metrics, {.listingFrom = m_options.listingFrom, .host = m_options.callers.address})
@@ -257,11 +262,26 @@
         return [this](HttpExchange &exchange) -> asio::awaitable<void> {
             const bool known = exchange.path() == m_options.readinessPath;
             const unsigned status = known ? (ready() ? 200 : 503) : 404;
-            std::string body;
+            std::string body = known ? readinessText() : std::string();
             co_await exchange.respond(status, "text/plain", std::move(body));
         };
     }
 
+    /// What keeps this router from being ready, a line each.
+    std::string readinessText() const
+    {
+        std::string text;
+        const auto note = [&text](bool missing, std::string_view what) {
+            text.append(missing ? what : std::string_view());
+        };
+        note(m_gateway.plan() == nullptr, "no configuration known\n");
+        note(!m_targetsKnown, "targets not known\n");
+        note(!m_evacuations.inForce(), "not known whether failure domains are evacuated\n");
+        note(m_draining, "draining\n");
+        note(m_gateway.overloaded(), "overloaded\n");
+        return text;
+    }
+
     HttpHandler metricsHandler()
     {
         return [this](HttpExchange &exchange) -> asio::awaitable<void> {
@@ -273,7 +293,7 @@
 
     bool ready() const
     {
-        return m_gateway.plan() != nullptr && m_targetsKnown && !m_draining && !m_gateway.overloaded();
+        return readinessText().empty();
     }
 
     typename TableWatcher<Relayed>::Options planWatch()
@@ -281,15 +301,31 @@
         return {.table = m_options.planTable,
                 .onAll =
                     [this](const std::vector<StoredRow> &rows) {
+                        m_evacuations.all(rows);
                         for (const StoredRow &row : rows) {
                             takePlan(row);
                         }
                     },
                 .onChange =
                     [this](const StoredRow &row) {
+                        m_evacuations.changed(row);
                         takePlan(row);
                     },
-                .onReachable = [](bool) {}};
+                .onReachable = [](bool) {},
+                .onVersion =
+                    [this](std::uint64_t version) {
+                        m_evacuations.storeAsOf(version, steadyNow());
+                    }};
+    }
+
+    EvacuationFollower::Options evacuationOptions()
+    {
+        return {.domainFrom = m_options.evacuationFrom,
+                .announce =
+                    [this](const Evacuations::State &state) {
+                        m_link.announceEvacuations(toWire(state));
+                    },
+                .host = m_options.callers.address};
     }
 
     void takePlan(const StoredRow &row)
@@ -421,6 +457,7 @@
     LedgerKeeper<Relayed> m_keeper;
     Gateway m_gateway;
     LoadLink m_loads;
+    EvacuationFollower m_evacuations;
     PeerHelp<Store> m_help;
     QuarantineKeeper<Relayed> m_quarantine;
     TargetFollower m_targetFollower;
--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -2,7 +2,9 @@
 
 #include "budget/teamledger.h"
 #include "clock/steadytime.h"
+#include "gateway/evacuationfollower.h"
 #include "gateway/gateway.h"
+#include "membership/evacuationnotice.h"
 #include "membership/peerlink.h"
 #include "membership/planseeker.h"
 #include "membership/plansource.h"
@@ -53,11 +55,13 @@
              RelayedStore<Store> &store,
              TeamLedger &ledger,
              Gateway &gateway,
+             EvacuationFollower &evacuations,
              std::function<void(const std::string &)> takeDocument)
         : m_link(link)
         , m_store(store)
         , m_ledger(ledger)
         , m_gateway(gateway)
+        , m_evacuations(evacuations)
         , m_takeDocument(std::move(takeDocument))
         , m_seeker({.self = link.self()})
         , m_piecePatience(m_options.piecePatience)
@@ -70,6 +74,9 @@
                 hearOfPlan(peer, version);
             });
         shareCrashes();
+        m_link.onEvacuations([this](const wire::EvacuationNotice &notice) {
+            m_evacuations.heard(fromWire(notice), steadyNow());
+        });
         m_ledger.onShortage(
             [this](std::string team, Tokens asked, std::vector<std::string> lenders) {
                 return borrow(std::move(team), asked, std::move(lenders));
@@ -247,6 +254,9 @@
         document.set_offset(piece->offset);
         document.set_total_bytes(piece->totalBytes);
         document.set_document(std::move(piece->bytes));
+        if (piece->offset == 0 && m_evacuations.inForce()) {
+            *document.mutable_evacuations() = toWire(*m_evacuations.inForce());
+        }
     }
 
     /// A peer has a newer configuration. Most often the store brings it within moments; where it does not, the peer does.
@@ -313,6 +323,9 @@
         }
         m_piecePatience.answered(now - begun);
         const wire::PlanDocument &document = answer->plan();
+        if (document.has_evacuations()) {
+            m_evacuations.heard(fromWire(document.evacuations()), now);
+        }
         const std::optional<std::string> whole = m_seeker.answered(ask.peer,
                                                                    {.version = document.version(),
                                                                     .bytes = document.document(),
@@ -333,6 +346,7 @@
     RelayedStore<Store> &m_store;
     TeamLedger &m_ledger;
     Gateway &m_gateway;
+    EvacuationFollower &m_evacuations;
     std::function<void(const std::string &)> m_takeDocument;
     Options m_options;
     /// Peers that did not answer a loan, and until when they are left alone.
--- a/src/gateway/routingplan.h
+++ b/src/gateway/routingplan.h
@@ -63,6 +63,8 @@
     std::string name;
     /// The most tokens that one event of a stream holds; 1 for services without streams.
     Tokens tokensPerEvent = 1;
+    /// Requests that a target takes in a second while it is cold; 0: any number.
+    double coldRequestsPerSecond = 0;
 };
 
 /// A team as the plan states it.
--- a/src/gateway/targetboard.cpp
+++ b/src/gateway/targetboard.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <utility>
 
 namespace bamboohold {
 
@@ -14,8 +15,6 @@
 constexpr std::uint32_t s_maxDoublings = 8;
 /// Parts remembered for each target; more than an engine's memory holds.
 constexpr std::size_t s_maxCachedParts = 4096;
-/// A starting target is given work as if it had this much more of it.
-constexpr double s_warmupMs = 60;
 constexpr double s_msPerSecond = 1000;
 /// Targets that are looked at for one request, besides its favourites: all of them on small fleets. Half of them are of the router's own
 /// failure domain. Keeps the choice at a few microseconds whatever the number of targets.
@@ -35,7 +34,7 @@
     std::set<std::string> present(unusableNames.begin(), unusableNames.end());
     for (TargetListing &listing : listings) {
         present.insert(listing.name());
-        listed(std::move(listing));
+        listed(std::move(listing), now);
     }
     for (const std::string &name : unusableNames) {
         unusable(name);
@@ -64,7 +63,18 @@
     m_poolsValid = false;
 }
 
-void TargetBoard::listed(TargetListing listing)
+void TargetBoard::setEvacuated(std::set<std::string> domains, Instant now)
+{
+    for (auto &[incarnation, target] : m_targets) {
+        const bool before = std::exchange(target.evacuated, domains.contains(target.listing.failureDomain));
+        if (before && !target.evacuated) {
+            target.suspectedColdUntil = now + m_options.coldSuspicion;
+        }
+    }
+    m_evacuated = std::move(domains);
+}
+
+void TargetBoard::listed(TargetListing listing, Instant now)
 {
     const auto before = named(listing.name());
     if (before != m_targets.end() && before->second.listing.incarnation != listing.incarnation) {
@@ -76,6 +86,8 @@
     // A target that has said that it leaves does not come back; an entry that says otherwise is older.
     listing.leaving = listing.leaving || target.listing.leaving;
     target.listing = std::move(listing);
+    target.evacuated = m_evacuated.contains(target.listing.failureDomain);
+    target.coldUntil = now + target.listing.warmup;
     target.usable = true;
     target.doubtedSince.reset();
 }
@@ -130,9 +142,31 @@
     }
 }
 
+std::optional<Withdrawal> TargetBoard::withdrawalOf(const Target &target)
+{
+    if (target.listing.leaving) {
+        return Withdrawal::Leaving;
+    }
+    if (target.evacuated) {
+        return Withdrawal::Evacuated;
+    }
+    return target.usable ? std::nullopt : std::optional(Withdrawal::Unusable);
+}
+
+std::optional<Withdrawal> TargetBoard::withdrawal(const std::string &incarnation) const
+{
+    const auto found = m_targets.find(incarnation);
+    return found == m_targets.end() ? std::nullopt : withdrawalOf(found->second);
+}
+
 bool TargetBoard::takesWork(const Target &target)
 {
-    return target.usable && !target.listing.leaving;
+    return !withdrawalOf(target);
+}
+
+bool TargetBoard::mayBeCold(const Target &target, Instant now)
+{
+    return now < target.coldUntil || now < target.suspectedColdUntil;
 }
 
 const TargetBoard::Pool &TargetBoard::pool(std::string_view service) const
@@ -244,9 +278,9 @@
         target.listing.slots > 0 && load.outstanding >= target.listing.slots ? load.outstanding - target.listing.slots + 1 : 0;
     const double queueing = m_options.msPerQueued * queued;
     const double distance = target.listing.failureDomain == m_options.failureDomain ? 0 : m_options.msOtherDomain;
-    const double warmup = target.listing.warmup > Duration::zero() ? s_warmupMs : 0;
+    const double cold = now < target.coldUntil ? m_options.msCold : 0;
     const bool silent = target.relaySilentAt && now - *target.relaySilentAt < m_options.loadMemory;
-    return reading + running + queueing + distance + warmup + overdue + (silent ? m_options.msSilentRelay : 0);
+    return reading + running + queueing + distance + cold + overdue + (silent ? m_options.msSilentRelay : 0);
 }
 
 bool TargetBoard::resting(const Target &target, Instant now)
@@ -266,7 +300,8 @@
         const std::string &incarnation = target->listing.incarnation;
         const bool tried = std::ranges::find(wish.except, incarnation) != wish.except.end();
         const bool meant = wish.among.empty() || std::ranges::find(wish.among, incarnation) != wish.among.end();
-        if (!takesWork(*target) || tried || !meant || resting(*target, now) != rested) {
+        const bool tooCold = wish.warmOnly && mayBeCold(*target, now);
+        if (!takesWork(*target) || tried || !meant || tooCold || resting(*target, now) != rested) {
             continue;
         }
         const bool first = !favoured.empty() && target == favoured.front();
@@ -301,9 +336,13 @@
     if (best.empty()) {
         return std::nullopt;
     }
-    const TargetListing &listing = best.front().target->listing;
-    return Placement{
-        .incarnation = listing.incarnation, .name = listing.name(), .address = listing.address, .uncached = best.front().uncached};
+    const Target &target = *best.front().target;
+    const TargetListing &listing = target.listing;
+    return Placement{.incarnation = listing.incarnation,
+                     .name = listing.name(),
+                     .address = listing.address,
+                     .uncached = best.front().uncached,
+                     .cold = mayBeCold(target, now)};
 }
 
 std::optional<TargetBoard::OwnLoad> TargetBoard::ownLoad(const std::string &incarnation) const
@@ -416,6 +455,7 @@
     }
     const Duration pause = m_options.firstPause * (std::int64_t{1} << std::min(target.failures, s_maxDoublings));
     target.pausedUntil = now + std::min(m_options.longestPause, pause);
+    target.suspectedColdUntil = *target.pausedUntil + m_options.coldSuspicion;
     ++target.failures;
     target.cached.clear();
 }
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -53,11 +53,23 @@
     std::span<const std::string> except;
     /// Where given, only these come into question.
     std::span<const std::string> among;
+    /// Only targets that are certainly warm come into question.
+    bool warmOnly = false;
     /// Decides between targets that are equally good, and which ones of many are looked at. Different for each request: routers with equal
     /// views that all took the first of equals would send much to one target and leave others idle.
     std::uint64_t draw = 0;
 };
 
+/// Why a target takes no new work, although the list shows it.
+enum class Withdrawal {
+    /// Its record cannot be used.
+    Unusable,
+    /// It has said that it leaves; this life of it does not come back.
+    Leaving,
+    /// Its failure domain is evacuated, until the order is taken back.
+    Evacuated,
+};
+
 /// Where a request goes.
 struct Placement {
     std::string incarnation;
@@ -66,6 +78,10 @@
     std::string address;
     /// Prompt tokens that the target probably has to read.
     Tokens uncached = 0;
+    /// The target is cold, or may be: it takes few requests a second from all routers together.
+    bool cold = false;
+    /// An admission to a cold target ends then.
+    std::optional<Instant> sendBefore;
 };
 
 /// How an attempt at a target ended, as far as it tells something about the target.
@@ -131,6 +147,11 @@
         bool ejects = true;
         /// Milliseconds counted against a target in another failure domain: the way there and back, and traffic that is paid for.
         double msOtherDomain = 4;
+        /// Milliseconds counted against a target that says that it is cold.
+        double msCold = 60;
+        /// A target that broke off, or whose failure domain is taken back, may have become cold before its record says so: its next
+        /// record comes within about a second, and takes some time to arrive.
+        Duration coldSuspicion = std::chrono::milliseconds(2500);
     };
 
     explicit TargetBoard(Options options);
@@ -138,9 +159,12 @@
     /// Takes over the whole list. `unusable` names the entries that are there and name no target to use.
     void setAll(std::vector<TargetListing> listings, Instant now, std::span<const std::string> unusable = {});
 
+    /// The targets of these failure domains, and of no others, take nothing new. Requests under way there go on.
+    void setEvacuated(std::set<std::string> domains, Instant now);
+
     /// An entry was added or changed. A new life under a name that is known takes the old one's place and inherits nothing: what the old
     /// one had cached, was ejected for, had in progress or said of leaving is not the new one's.
-    void listed(TargetListing listing);
+    void listed(TargetListing listing, Instant now);
 
     /// The entry of that name vanished.
     void unlisted(const std::string &name, Instant now);
@@ -202,12 +226,15 @@
         return m_targets.contains(incarnation);
     }
 
-    /// True when the end of the target is expected: it has said that it leaves, or the list does not show it any more. Requests that it
+    /// Why the target takes no new work; none when it does. Targets that are not known are none's.
+    std::optional<Withdrawal> withdrawal(const std::string &incarnation) const;
+
+    /// True when the end of the target is expected: it is withdrawn, or the list does not show it any more. Requests that it
     /// cuts when it goes did not bring it down.
     bool expectedToEnd(const std::string &incarnation) const
     {
         const auto found = m_targets.find(incarnation);
-        return found == m_targets.end() || found->second.listing.leaving;
+        return found == m_targets.end() || found->second.listing.leaving || found->second.evacuated;
     }
 
     /// True when the target of that name has started again since this life of it.
@@ -222,6 +249,12 @@
         TargetListing listing;
         /// False while its record cannot be used.
         bool usable = true;
+        /// True while its failure domain is evacuated.
+        bool evacuated = false;
+        /// By its last record it is cold until then.
+        Instant coldUntil{};
+        /// It may have become cold, and its record would say so by then.
+        Instant suspectedColdUntil{};
         std::uint32_t outstanding = 0;
         /// Prompt tokens sent and not yet read.
         Tokens unread = 0;
@@ -259,7 +292,9 @@
         double score = 0;
     };
 
+    static std::optional<Withdrawal> withdrawalOf(const Target &target);
     static bool takesWork(const Target &target);
+    static bool mayBeCold(const Target &target, Instant now);
     std::map<std::string, Target>::iterator named(const std::string &name);
     void forget(std::map<std::string, Target>::iterator target);
     static bool resting(const Target &target, Instant now);
@@ -281,6 +316,7 @@
     /// By service; made anew when the list has changed.
     mutable std::map<std::string, Pool, std::less<>> m_pools;
     mutable bool m_poolsValid = false;
+    std::set<std::string> m_evacuated;
     bool m_storeReachable = true;
     std::optional<Instant> m_storeBackAt;
 };
--- a/src/gateway/targetfollower.cpp
+++ b/src/gateway/targetfollower.cpp
@@ -64,7 +64,7 @@
              {"service", listing->service},
              {"address", listing->address},
              {"leaving", static_cast<std::int64_t>(listing->leaving)}});
-    m_board.listed(*std::move(listing));
+    m_board.listed(*std::move(listing), now);
 }
 
 std::optional<TargetListing> TargetFollower::read(const StoredRow &row)
--- a/src/inventory/documentreader.cpp
+++ b/src/inventory/documentreader.cpp
@@ -77,6 +77,14 @@
     return real;
 }
 
+double DocumentReader::notNegative(std::string_view field, double fallback)
+{
+    const boost::json::value *value = find(field);
+    boost::json::error_code error;
+    const bool zero = value != nullptr && value->to_number<double>(error) == 0 && !error;
+    return zero ? 0 : positive(field, fallback);
+}
+
 double DocumentReader::requiredPositive(std::string_view field)
 {
     if (!has(field)) {
--- a/src/inventory/documentreader.h
+++ b/src/inventory/documentreader.h
@@ -31,6 +31,9 @@
     /// A positive real number; absent gives the fallback.
     double positive(std::string_view field, double fallback);
 
+    /// A real number that is 0 or above; absent gives the fallback.
+    double notNegative(std::string_view field, double fallback);
+
     /// A positive real number that has to be there.
     double requiredPositive(std::string_view field);
 
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -40,6 +40,11 @@
     m_onQuarantine = std::move(onQuarantine);
 }
 
+void PeerLink::onEvacuations(EvacuationHandler onEvacuation)
+{
+    m_onEvacuation = std::move(onEvacuation);
+}
+
 absl::Status PeerLink::open()
 {
     absl::Status opened = m_hub.open();
@@ -116,6 +121,13 @@
     sendToAll(envelope);
 }
 
+void PeerLink::announceEvacuations(wire::EvacuationNotice notice)
+{
+    wire::Envelope envelope;
+    *envelope.mutable_evacuation_notice() = std::move(notice);
+    sendToAll(envelope);
+}
+
 void PeerLink::sendToAll(const wire::Envelope &envelope)
 {
     for (const std::string &peer : m_peers) {
@@ -141,6 +153,10 @@
         m_onQuarantine(peer, message.quarantine_notice());
         return;
     }
+    if (message.has_evacuation_notice()) {
+        m_onEvacuation(message.evacuation_notice());
+        return;
+    }
     const auto pending = m_pending.find(message.peer_answer().call_id());
     // An answer after its call's time is up has nobody to take it: a loan in it stays counted as spent by its lender.
     if (message.has_peer_answer() && pending != m_pending.end()) {
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -36,6 +36,7 @@
     using Server = std::function<boost::asio::awaitable<wire::PeerAnswer>(wire::PeerCall call)>;
     using NoticeHandler = std::function<void(const std::string &peer, std::uint64_t planVersion)>;
     using CrashHandler = std::function<void(const wire::CrashNotice &notice)>;
+    using EvacuationHandler = std::function<void(const wire::EvacuationNotice &notice)>;
     using QuarantineHandler = std::function<void(const std::string &peer, const wire::QuarantineNotice &notice)>;
 
     PeerLink(boost::asio::any_io_executor executor, Options options);
@@ -46,6 +47,9 @@
     /// Who hears of targets that crashed, and of requests that are held back for it. Before open().
     void onCrashes(CrashHandler onCrash, QuarantineHandler onQuarantine);
 
+    /// Who hears of evacuations. Before open().
+    void onEvacuations(EvacuationHandler onEvacuation);
+
     /// Listens; a taken address is an InvalidSetting.
     absl::Status open();
 
@@ -64,6 +68,9 @@
     /// Tells every peer that a request is held back, or no longer is.
     void announceQuarantine(wire::QuarantineNotice notice);
 
+    /// Tells every peer which failure domains are evacuated.
+    void announceEvacuations(wire::EvacuationNotice notice);
+
     /// The loop that answers and notices arrive on.
     const boost::asio::any_io_executor &executor() const
     {
@@ -101,6 +108,7 @@
     NoticeHandler m_onPlanNotice;
     CrashHandler m_onCrash = [](const wire::CrashNotice &) {};
     QuarantineHandler m_onQuarantine = [](const std::string &, const wire::QuarantineNotice &) {};
+    EvacuationHandler m_onEvacuation = [](const wire::EvacuationNotice &) {};
     std::set<std::string> m_peers;
     std::map<std::uint64_t, std::shared_ptr<Pending>> m_pending;
     std::uint64_t m_lastCall = 0;
--- a/src/store/tablewatcher.h
+++ b/src/store/tablewatcher.h
@@ -29,6 +29,8 @@
         std::function<void(const StoredRow &)> onChange;
         /// Whether the store answers.
         std::function<void(bool)> onReachable;
+        /// All that was told so far is the table as of this version.
+        std::function<void(std::uint64_t version)> onVersion = [](std::uint64_t) {};
         /// The store holds a call back this long when nothing changes. Short, because a connection that went silent is noticed only by an
         /// answer that does not come.
         Duration longestWait = std::chrono::milliseconds(1500);
@@ -74,6 +76,7 @@
         m_version = read->version;
         m_synced = true;
         m_options.onAll(read->rows);
+        m_options.onVersion(m_version);
         co_return true;
     }
 
@@ -100,6 +103,7 @@
             }
         }
         m_version = std::max(m_version, feed->version);
+        m_options.onVersion(m_version);
         // Changes that came while the last answer was on its way come all at once. Where each is large and they keep coming, the next
         // answer would take longer still, and so on: the newest one would be ever further away. A whole read has each row once.
         co_return std::ranges::none_of(passedOver, std::identity{});
--- /dev/null
+++ b/src/tests/evacuationfollowertest.cpp
@@ -0,0 +1,150 @@
+#include "gateway/evacuationfollower.h"
+
+#include "failure/failure.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboohold;
+
+namespace {
+
+constexpr Instant s_now{std::chrono::seconds(100)};
+
+/// Rows of this test: "empty DOMAIN" evacuates; "empty " names no domain; all others are no orders.
+absl::StatusOr<std::optional<std::string>> domainOf(const StoredRow &row)
+{
+    const std::string_view prefix = "empty ";
+    if (!row.address.key.starts_with(prefix)) {
+        return std::nullopt;
+    }
+    std::string domain = row.address.key.substr(prefix.size());
+    if (domain.empty()) {
+        return failed(FailureKind::InvalidDocument, "no domain");
+    }
+    return domain;
+}
+
+StoredRow order(std::string key, std::uint64_t version)
+{
+    return {.address = {.table = "t", .part = "", .key = std::move(key)}, .value = "\x80 not readable", .version = version};
+}
+
+TargetListing target(std::string name, std::string domain, Duration warmup = {})
+{
+    return {
+        .incarnation = std::move(name), .service = "llm", .address = "10.0.0.1:80", .failureDomain = std::move(domain), .warmup = warmup};
+}
+
+struct Scene {
+    Scene()
+        : board({.failureDomain = "here"})
+        , follower(board,
+                   metrics,
+                   {.domainFrom = domainOf,
+                    .announce =
+                        [this](const Evacuations::State &state) {
+                            announced.push_back(state);
+                        },
+                    .host = "me"})
+    {
+        board.setAll({target("one", "here"), target("other", "there")}, s_now);
+    }
+
+    void all(std::vector<StoredRow> rows, std::uint64_t version)
+    {
+        follower.all(rows);
+        follower.storeAsOf(version, s_now);
+    }
+
+    void changed(const StoredRow &row, std::uint64_t version)
+    {
+        follower.changed(row);
+        follower.storeAsOf(version, s_now);
+    }
+
+    std::optional<Placement> choose(Instant now = s_now) const
+    {
+        return board.choose({.service = "llm"}, now);
+    }
+
+    TargetBoard board;
+    Metrics metrics;
+    std::vector<Evacuations::State> announced;
+    EvacuationFollower follower;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(EvacuationFollowerTest)
+
+// Guards against requests to a domain that its operators are emptying: also to a target that is listed after the order, or again.
+BOOST_AUTO_TEST_CASE(evacuatedDomainGetsNothing)
+{
+    Scene scene;
+    scene.changed(order("empty here", 7), 7);
+    BOOST_TEST(scene.choose()->incarnation == "other");
+    BOOST_TEST((scene.board.withdrawal("one") == Withdrawal::Evacuated));
+    scene.board.listed(target("later", "here"), s_now);
+    scene.board.listed(target("one", "here"), s_now);
+    BOOST_TEST(scene.choose()->incarnation == "other");
+    BOOST_TEST(scene.announced.size() == 1U);
+}
+
+// Guards against an order that is read before any target of its domain is known, as by a router that starts.
+BOOST_AUTO_TEST_CASE(orderMayComeBeforeItsTargets)
+{
+    Scene scene;
+    scene.board.setAll({}, s_now);
+    scene.all({order("empty here", 3), order("config", 4)}, 4);
+    scene.board.setAll({target("one", "here")}, s_now);
+    BOOST_TEST(!scene.choose().has_value());
+}
+
+// Guards against a domain that stays empty after its order was taken back, by a change or by its absence from a whole read.
+BOOST_AUTO_TEST_CASE(takenBackDomainServesAgain)
+{
+    Scene scene;
+    scene.all({order("empty here", 3), order("empty there", 4)}, 4);
+    BOOST_TEST(!scene.choose().has_value());
+    scene.changed(order("empty here", 0), 5);
+    BOOST_TEST(scene.choose()->incarnation == "one");
+    scene.changed(order("empty here", 6), 6);
+    BOOST_TEST(!scene.choose().has_value());
+    scene.all({}, 7);
+    BOOST_TEST(scene.choose().has_value());
+}
+
+// Guards against a burst at targets that became cold while their domain was empty, before their records say so.
+BOOST_AUTO_TEST_CASE(takenBackTargetsMayBeCold)
+{
+    Scene scene;
+    scene.all({order("empty here", 3), order("empty there", 4)}, 4);
+    BOOST_TEST(!scene.choose().has_value());
+    scene.all({}, 5);
+    BOOST_TEST(scene.choose()->cold);
+    BOOST_TEST(!scene.choose(s_now + std::chrono::seconds(3))->cold);
+}
+
+// Guards against a record with an empty name that empties the fleet, or hides the orders beside it.
+BOOST_AUTO_TEST_CASE(unreadableOrderHarmsNoOther)
+{
+    Scene scene;
+    scene.all({order("empty ", 3), order("empty here", 4)}, 4);
+    BOOST_TEST(scene.choose()->incarnation == "other");
+}
+
+// Guards against a router that is cut off from the store and goes on sending to a domain of which its peers know that it is evacuated.
+BOOST_AUTO_TEST_CASE(peersTellOfOrders)
+{
+    Scene scene;
+    scene.all({}, 4);
+    scene.follower.heard({.version = 9, .domains = {"here"}}, s_now);
+    BOOST_TEST(scene.choose()->incarnation == "other");
+    // The store's feed is behind the peer.
+    scene.follower.storeAsOf(6, s_now);
+    BOOST_TEST(scene.choose()->incarnation == "other");
+    scene.follower.storeAsOf(10, s_now);
+    BOOST_TEST(scene.choose()->incarnation == "one");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/evacuationstest.cpp
@@ -0,0 +1,62 @@
+#include "membership/evacuations.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace bamboohold;
+
+namespace {
+
+using Domains = std::set<std::string>;
+
+}
+
+BOOST_AUTO_TEST_SUITE(EvacuationsTest)
+
+// Guards against an order that a late notice or a slow read brings back after it was taken back, or takes back after it was given again.
+BOOST_AUTO_TEST_CASE(newestStateHoldsWhateverTheOrder)
+{
+    const bool held = rc::check("the newest version heard of is in force", [] {
+        Evacuations evacuations;
+        // The store's own history; its version is the index.
+        std::vector<Domains> history{{}};
+        for (const auto &[domain, evacuated] :
+             *rc::gen::container<std::vector<std::pair<int, bool>>>(rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::arbitrary<bool>()))) {
+            Domains next = history.back();
+            const std::string name = std::to_string(domain);
+            evacuated ? (void)next.insert(name) : (void)next.erase(name);
+            history.push_back(std::move(next));
+        }
+        std::size_t read = 0;
+        std::size_t newest = 0;
+        bool known = false;
+        const auto steps = *rc::gen::container<std::vector<std::pair<int, std::size_t>>>(
+            rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange<std::size_t>(0, history.size())));
+        for (const auto &[kind, drawn] : steps) {
+            if (kind == 0) {
+                evacuations.heard({.version = drawn, .domains = history[drawn]});
+                newest = std::max(newest, drawn);
+            } else {
+                // The store's table is read whole, or followed, from where this router was.
+                read = std::max(read, drawn);
+                if (kind == 1) {
+                    evacuations.readWhole(history[read]);
+                } else {
+                    for (const char *name : {"0", "1", "2"}) {
+                        evacuations.changed(name, history[read].contains(name));
+                    }
+                }
+                evacuations.storeAsOf(read);
+                newest = std::max(newest, read);
+            }
+            known = true;
+            RC_ASSERT(evacuations.inForce()->domains == history[newest]);
+        }
+        RC_ASSERT(evacuations.inForce().has_value() == known);
+    });
+    BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/gatewaytest.cpp
+++ b/src/tests/gatewaytest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "clock/steadytime.h"
 #include "net/pause.h"
 #include "tests/scriptedpeer.h"
 
@@ -154,7 +155,8 @@
                                           .service = "service",
                                           .address = m_targets.back()->address(),
                                           .failureDomain = "here",
-                                          .identity = "target-1"});
+                                          .identity = "target-1"},
+                                         steadyNow());
                 while (true) {
                     co_await pause(std::chrono::milliseconds(20));
                     m_gateway.prune();
@@ -169,7 +171,7 @@
         const TargetListing next{
             .incarnation = "next", .service = "service", .address = m_targets.front()->address(), .failureDomain = "here"};
         m_gateway.board().unlisted("target-1", Instant{});
-        m_gateway.board().listed(next);
+        m_gateway.board().listed(next, Instant{});
     }
 
     const ScriptedPeer &target(std::size_t index) const
--- a/src/tests/peerhelptest.cpp
+++ b/src/tests/peerhelptest.cpp
@@ -68,6 +68,8 @@
             answer.set_done(true);
             answer.mutable_plan()->set_version(2);
             answer.mutable_plan()->set_document("document");
+            answer.mutable_plan()->mutable_evacuations()->set_version(5);
+            answer.mutable_plan()->mutable_evacuations()->add_domains("there");
         }
         co_return answer;
     }
@@ -83,7 +85,8 @@
         , relayed(store, link)
         , ledger(loop.get_executor(), {.holder = "router", .incarnation = "router~1"})
         , gateway(loop.get_executor(), {}, ledger, metrics)
-        , help(link, relayed, ledger, gateway, [this](const std::string &document) {
+        , evacuations(gateway.board(), metrics, {})
+        , help(link, relayed, ledger, gateway, evacuations, [this](const std::string &document) {
             taken.push_back(document);
             gateway.setPlan(std::make_shared<const RoutingPlan>(RoutingPlan::Content{.version = 2}));
             loop.stop();
@@ -132,6 +135,7 @@
     RelayedStore<NoStore> relayed;
     TeamLedger ledger;
     Gateway gateway;
+    EvacuationFollower evacuations;
     PeerHelp<NoStore> help;
     std::vector<std::string> taken;
     std::vector<std::unique_ptr<SlowPeer>> peers;
@@ -153,4 +157,14 @@
     BOOST_TEST(scene.documentsAsked() == 1);
 }
 
+// Guards against a router that starts while the store is away, takes its configuration from a peer, and sends to an evacuated domain.
+BOOST_AUTO_TEST_CASE(evacuationsComeWithTheConfiguration)
+{
+    Scene scene;
+    scene.announceUntilTaken();
+    BOOST_REQUIRE(scene.evacuations.inForce().has_value());
+    BOOST_TEST(scene.evacuations.inForce()->version == 5U);
+    BOOST_TEST(scene.evacuations.inForce()->domains.contains("there"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/poisonrequesttest.cpp
+++ b/src/tests/poisonrequesttest.cpp
@@ -91,7 +91,8 @@
         , relayed(rows, link)
         , ledger(pool.mainLoop().get_executor(), {.holder = linkAddress(number), .incarnation = linkAddress(number) + "~1"})
         , gateway(pool.mainLoop().get_executor(), options(), ledger, metrics)
-        , help(link, relayed, ledger, gateway, [](const std::string &) {})
+        , evacuations(gateway.board(), metrics, {})
+        , help(link, relayed, ledger, gateway, evacuations, [](const std::string &) {})
         , server(pool,
                  {.address = "127.0.0.1", .port = static_cast<std::uint16_t>(s_firstCallerPort + number), .exclusive = true},
                  [this](HttpExchange &exchange) {
@@ -118,6 +119,7 @@
     RelayedStore<SharedRows> relayed;
     TeamLedger ledger;
     Gateway gateway;
+    EvacuationFollower evacuations;
     PeerHelp<SharedRows> help;
     HttpServer server;
 };
--- a/src/tests/targetboardtest.cpp
+++ b/src/tests/targetboardtest.cpp
@@ -101,9 +101,9 @@
     Board scene(1);
     TargetListing leaving = listing("0");
     leaving.leaving = true;
-    scene.board.listed(leaving);
+    scene.board.listed(leaving, scene.now);
     BOOST_TEST(!scene.choose().has_value());
-    scene.board.listed(listing("0"));
+    scene.board.listed(listing("0"), scene.now);
     BOOST_TEST(!scene.choose().has_value());
 }
 
@@ -119,7 +119,7 @@
     scene.now += ms(1500);
     scene.board.expire(scene.now);
     BOOST_TEST(scene.choose().has_value());
-    scene.board.listed(listing("1"));
+    scene.board.listed(listing("1"), scene.now);
     scene.now += ms(1500);
     scene.board.expire(scene.now);
     BOOST_REQUIRE(scene.choose().has_value());
