Cold targets admit their requests: the relay beside a target grants them, shares of all routers stand in where no relay runs

What callers saw: a cold target that gets more requests in a second than it takes crashes, with all that runs there. Cause: each router held 60 ms against a cold target, by its own view; with 31 routers nobody bounds their sum. Ruled out: a share of the rate for each router as the only way. 31 routers at 10 requests a second are less than one each, and a router that is cut off counts itself among the few. Change, two ways, both there: (1) WarmupAdmissions, at the relay: a router asks before each request to a target that is cold or may be, and the relay admits no more in 1.3 s than the target takes in a second. A router uses an admission within 0.3 s of its question, checked again right before the request is written, or not at all. A relay that has just started grants nothing for 1.3 s. So the bound holds whatever is lost, cut off or asleep; with a dead relay a cold target gets nothing. Property tests play both bounds over routers that ask as often as they can, lost and late answers, sleep, and relays that start again.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,12 +7,20 @@
 
 namespace bamboohold {
 
+namespace {
+
+/// Cold targets asked to admit one request; each question is a round trip that its caller waits for.
+constexpr int s_coldTargetsAsked = 3;
+
+}
+
 Gateway::Gateway(asio::any_io_executor executor, Options options, TeamLedger &ledger, Metrics &metrics)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
     , m_ledger(ledger)
     , m_metrics(metrics)
     , m_board(m_options.board)
+    , m_shares(m_options.self)
     , m_retries(m_options.retries)
     , m_guard(m_executor, m_metrics)
     , m_becameReady(m_executor)
@@ -113,7 +121,43 @@
     }
 }
 
-asio::awaitable<std::optional<Placement>> Gateway::place(PlacementWish wish)
+asio::awaitable<std::optional<Placement>> Gateway::place(PlacementWish wish, double coldPerSecond)
+{
+    std::vector<std::string> except(wish.except.begin(), wish.except.end());
+    for (int asked = 0; asked < s_coldTargetsAsked; ++asked) {
+        wish.except = except;
+        std::optional<Placement> placement = co_await leastLoaded(wish);
+        if (!placement || !placement->cold || coldPerSecond <= 0) {
+            co_return placement;
+        }
+        const Instant askedAt = steadyNow();
+        const bool admits = co_await admitted(*placement, coldPerSecond);
+        if (admits) {
+            placement->sendBefore = askedAt + s_admissionLifetime;
+            co_return placement;
+        }
+        except.push_back(placement->incarnation);
+    }
+    wish.except = except;
+    wish.warmOnly = true;
+    std::optional<Placement> warm = co_await leastLoaded(wish);
+    co_return warm;
+}
+
+asio::awaitable<bool> Gateway::admitted(Placement placement, double coldPerSecond)
+{
+    Admission admission = Admission::NoRelay;
+    std::optional<LoadNotice> notice = loadNotice(placement.incarnation);
+    if (notice && m_options.warmupGrants) {
+        admission = co_await m_loads->askAdmission(*std::move(notice), coldPerSecond);
+    }
+    if (admission == Admission::NoRelay) {
+        co_return m_shares.admit(placement.incarnation, coldPerSecond, steadyNow());
+    }
+    co_return admission == Admission::Granted;
+}
+
+asio::awaitable<std::optional<Placement>> Gateway::leastLoaded(PlacementWish wish)
 {
     const std::vector<std::string> candidates = m_board.candidates(wish, m_options.targetsAsked, steadyNow());
     std::vector<LoadNotice> notices;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "operations/metrics.h"
 #include "quarantine/poisonguard.h"
 #include "routing/loadlink.h"
+#include "routing/warmup.h"
 
 #include <functional>
 #include <map>
@@ -47,6 +48,10 @@
         bool sheds = true;
         /// Whether requests that crash targets are held back.
         bool quarantines = true;
+        /// This router's name among all of them.
+        std::string self;
+        /// Whether the relay beside a cold target admits requests to it, rather than shares of all routers.
+        bool warmupGrants = true;
         /// Seeds the choice among the services of a split route.
         std::uint64_t seed = 1;
     };
@@ -101,6 +106,12 @@
         return m_guard;
     }
 
+    /// The routers that live, this one included.
+    void setRouters(std::span<const std::string> routers)
+    {
+        m_shares.setRouters(routers);
+    }
+
     /// From now on loads of targets are asked for and told. The link outlives this.
     void setLoads(LoadLink &loads);
 
@@ -125,8 +136,11 @@
     }
 
     asio::awaitable<void> waitUntilReady();
-    /// Chooses a target for a request, after it has asked a few for what others have there.
-    asio::awaitable<std::optional<Placement>> place(PlacementWish wish);
+    /// Chooses a target for a request. One that is cold has to admit it; `coldPerSecond` requests a second do, 0 standing for all.
+    asio::awaitable<std::optional<Placement>> place(PlacementWish wish, double coldPerSecond);
+    /// Chooses a target after it has asked a few for what others have there.
+    asio::awaitable<std::optional<Placement>> leastLoaded(PlacementWish wish);
+    asio::awaitable<bool> admitted(Placement placement, double coldPerSecond);
     void tellLoad(const std::string &incarnation);
     std::optional<LoadNotice> loadNotice(const std::string &incarnation) const;
 
@@ -141,6 +155,7 @@
     Metrics &m_metrics;
     TargetBoard m_board;
     LoadLink *m_loads = nullptr;
+    WarmupShares m_shares;
     LoadShedder m_shedder;
     bool m_shedding = false;
     RetryBudget m_retries;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -180,6 +180,7 @@
         }
         options.gateway.sheds = on.shedding;
         options.gateway.quarantines = on.quarantine;
+        options.gateway.warmupGrants = on.warmupGrants;
         if (!on.silence) {
             options.gateway.board.patience = s_never;
         }
@@ -213,6 +214,7 @@
         return {.router = text(m_options.link), .onCounted = [this](const std::vector<std::string> &routers) {
                     m_link.setPeers(routers);
                     m_ledger.setRouters(routers);
+                    m_gateway.setRouters(routers);
                 }};
     }
 
@@ -234,6 +236,7 @@
     {
         Gateway::Options options = m_options.gateway;
         options.routers = routerCount();
+        options.self = text(m_options.link);
         return options;
     }
 
--- a/src/gateway/mechanisms.cpp
+++ b/src/gateway/mechanisms.cpp
@@ -18,7 +18,7 @@
     bool Mechanisms::*on;
 };
 
-constexpr std::array<Switch, 12> s_switches{{{"relays", &Mechanisms::relays},
+constexpr std::array<Switch, 13> s_switches{{{"relays", &Mechanisms::relays},
                                              {"carried-calls", &Mechanisms::carriedCalls},
                                              {"keepers", &Mechanisms::keepers},
                                              {"loans", &Mechanisms::loans},
@@ -29,7 +29,8 @@
                                              {"shedding", &Mechanisms::shedding},
                                              {"silence", &Mechanisms::silence},
                                              {"ejection", &Mechanisms::ejection},
-                                             {"quarantine", &Mechanisms::quarantine}}};
+                                             {"quarantine", &Mechanisms::quarantine},
+                                             {"warmup-grants", &Mechanisms::warmupGrants}}};
 
 }
 
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -172,7 +172,8 @@
         }
         const PlacementWish wish{
             .service = m_serviceName, .prompt = m_terms.prompt, .except = m_tried, .draw = stableHash(m_terms.requestId) + m_tried.size()};
-        const std::optional<Placement> placement = co_await m_gateway.place(wish);
+        const std::optional<Placement> placement =
+            co_await m_gateway.place(wish, m_service != nullptr ? m_service->coldRequestsPerSecond : 0);
         if (m_callerLeft) {
             co_return m_ran == 0 ? AttemptEnd::NotRun : AttemptEnd::CallerLeft;
         }
@@ -285,7 +286,8 @@
                             .headers = m_gateway.m_options.codec.dispatchHeaders(request, terms),
                             .host = std::string(m_exchange.header("Host")),
                             .timeout = firstByteTime(now),
-                            .connectTimeout = s_connectTimeout};
+                            .connectTimeout = s_connectTimeout,
+                            .sendBefore = placement.sendBefore};
     options.belongs = [this](const http::fields &fields) {
         const AnswerTerms answer = m_gateway.m_options.codec.readAnswer(s_firstSuccess, fields);
         return answer.requestId.empty() || answer.requestId == m_terms.requestId;
@@ -320,7 +322,8 @@
         m_lastProblem = std::string(started.message());
         m_sent += end == AttemptEnd::NotRun ? 0 : 1;
         m_brokeOff = !call.cancelled();
-        m_sign = m_callerLeft ? TargetSign::Neutral : TargetSign::Broken;
+        const bool own = m_callerLeft || toFailure(started).kind == FailureKind::Cancelled;
+        m_sign = own ? TargetSign::Neutral : TargetSign::Broken;
     }
     m_call = nullptr;
     co_return end;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -42,6 +42,8 @@
     Duration longestAnswer = std::chrono::seconds(30);
     /// Bound on opening a connection: a host without power answers nothing at all, and the kernel would try for minutes.
     Duration connectTimeout = std::chrono::seconds(10);
+    /// The request is not sent any more from then on, and has not run.
+    std::optional<Instant> sendBefore;
     /// The longest body that the caller wants; a longer one, by the head's word, is left untaken, and its connection is closed. 0: any.
     std::uint64_t mostBodyBytes = 0;
     /// Tells whether an answer's head belongs to this request; empty: every answer does. Some peers send an answer twice, and the second
--- a/src/routing/loadlink.cpp
+++ b/src/routing/loadlink.cpp
@@ -89,7 +89,7 @@
     return &m_relays.emplace(address, Relay{.endpoint = {endpoint->address(), endpoint->port()}}).first->second;
 }
 
-std::uint64_t LoadLink::send(Relay &relay, const LoadNotice &notice, bool asks)
+std::uint64_t LoadLink::send(Relay &relay, const LoadNotice &notice, Wanted wanted)
 {
     wire::LoadNote note;
     note.set_router(m_router);
@@ -97,7 +97,8 @@
     note.set_sequence(++m_sequence);
     note.set_outstanding(notice.load.outstanding);
     note.set_unread(notice.load.unread);
-    note.set_asks(asks);
+    note.set_asks(wanted.answer);
+    note.set_admissions_per_second(wanted.admissionsPerSecond);
     const std::string text = note.SerializeAsString();
     // What cannot be sent at once is lost like any datagram: the next one has the whole state again.
     boost::system::error_code lost;
@@ -115,7 +116,7 @@
 {
     Relay *known = notice.relay.empty() ? nullptr : relay(notice.relay);
     if (known != nullptr && known->everAnswered) {
-        send(*known, notice, false);
+        send(*known, notice, {});
     }
 }
 
@@ -134,14 +135,42 @@
         if (known == nullptr || begun < known->restsUntil) {
             continue;
         }
-        const std::uint64_t sequence = send(*known, notice, true);
-        m_questions[sequence] = {.incarnation = notice.incarnation, .relay = notice.relay, .group = group, .sentAt = begun};
-        ++group->open;
-        asked.push_back(sequence);
+        asked.push_back(question(*known, notice, group, {.answer = true}));
     }
-    if (asked.empty()) {
-        co_return;
+    if (!asked.empty()) {
+        co_await awaitAnswers(group, std::move(asked));
     }
+}
+
+asio::awaitable<Admission> LoadLink::askAdmission(LoadNotice notice, double requestsPerSecond)
+{
+    Relay *known = notice.relay.empty() ? nullptr : relay(notice.relay);
+    if (known == nullptr) {
+        co_return Admission::NoRelay;
+    }
+    const auto group = std::make_shared<Group>(m_executor);
+    if (steadyNow() >= known->restsUntil) {
+        std::vector<std::uint64_t> asked{question(*known, notice, group, {.answer = true, .admissionsPerSecond = requestsPerSecond})};
+        co_await awaitAnswers(group, std::move(asked));
+    }
+    if (group->admitted) {
+        co_return *group->admitted ? Admission::Granted : Admission::Denied;
+    }
+    // The table of relays may have been cleared while this waited.
+    known = relay(notice.relay);
+    co_return known != nullptr && known->everAnswered ? Admission::Unanswered : Admission::NoRelay;
+}
+
+std::uint64_t LoadLink::question(Relay &relay, const LoadNotice &notice, const std::shared_ptr<Group> &group, Wanted wanted)
+{
+    const std::uint64_t sequence = send(relay, notice, wanted);
+    m_questions[sequence] = {.incarnation = notice.incarnation, .relay = notice.relay, .group = group, .sentAt = steadyNow()};
+    ++group->open;
+    return sequence;
+}
+
+asio::awaitable<void> LoadLink::awaitAnswers(std::shared_ptr<Group> group, std::vector<std::uint64_t> asked)
+{
     group->done.expires_after(patience());
     co_await group->done.async_wait(s_tuple);
     const Instant now = steadyNow();
@@ -206,6 +235,7 @@
         known->everAnswered = true;
         known->silences = 0;
     }
+    question.group->admitted = answer.admitted();
     m_heard(question.incarnation, {.outstanding = answer.outstanding(), .unread = answer.unread()});
     if (--question.group->open == 0) {
         question.group->done.cancel();
--- a/src/routing/loadlink.h
+++ b/src/routing/loadlink.h
@@ -30,6 +30,16 @@
     TargetLoad load;
 };
 
+/// What became of a router's question whether it may send a request to a cold target.
+enum class Admission {
+    Granted,
+    Denied,
+    /// The relay beside the target used to answer, and did not.
+    Unanswered,
+    /// No relay has ever answered there.
+    NoRelay,
+};
+
 /// Tells the relays beside targets what this router has there, and asks them what all others have. Lives on one event loop.
 ///
 /// Every wait is a caller's: a question is given up after a few round trips, and a relay that did not answer several times is asked no more
@@ -67,6 +77,10 @@
     /// Asks about all of these at once, and returns when they have answered or the time for it is up.
     boost::asio::awaitable<void> ask(std::span<const LoadNotice> notices);
 
+    /// Asks whether one request may be sent to the target, which takes this many a second from all routers while it is cold. The admission
+    /// is used within `s_admissionLifetime` of this call, or not at all.
+    boost::asio::awaitable<Admission> askAdmission(LoadNotice notice, double requestsPerSecond);
+
     /// The shortest round trip among the answers since the last call, late ones included; none when none came. Long ones tell that this
     /// host's link is full, or its processor: a relay that is slow by itself is one of many.
     std::optional<Duration> takeShortestRoundTrip();
@@ -84,6 +98,8 @@
 
         boost::asio::steady_timer done;
         std::size_t open = 0;
+        /// The last answer's word on a cold target.
+        std::optional<bool> admitted;
     };
 
     struct Question {
@@ -102,7 +118,15 @@
     };
 
     Relay *relay(const std::string &address);
-    std::uint64_t send(Relay &relay, const LoadNotice &notice, bool asks);
+    /// What is wanted of a relay besides taking the notice.
+    struct Wanted {
+        bool answer = false;
+        double admissionsPerSecond = 0;
+    };
+
+    std::uint64_t send(Relay &relay, const LoadNotice &notice, Wanted wanted);
+    std::uint64_t question(Relay &relay, const LoadNotice &notice, const std::shared_ptr<Group> &group, Wanted wanted);
+    boost::asio::awaitable<void> awaitAnswers(std::shared_ptr<Group> group, std::vector<std::uint64_t> asked);
     boost::asio::awaitable<void> receive();
     void answered(std::span<const char> message);
     void missed(const Question &question, Instant now);
--- a/src/routing/loadserver.cpp
+++ b/src/routing/loadserver.cpp
@@ -30,6 +30,7 @@
 LoadServer::LoadServer(asio::any_io_executor executor, asio::ip::udp::endpoint listen)
     : m_listen(std::move(listen))
     , m_socket(executor)
+    , m_admissions(steadyNow())
 {
 }
 
@@ -74,7 +75,8 @@
                                 .target = note.target(),
                                 .sequence = note.sequence(),
                                 .load = {.outstanding = note.outstanding(), .unread = note.unread()}};
-        const TargetLoad others = m_book.noted(report, steadyNow());
+        const Instant now = steadyNow();
+        const TargetLoad others = m_book.noted(report, now);
         if (!note.asks()) {
             continue;
         }
@@ -82,6 +84,7 @@
         answer.set_sequence(note.sequence());
         answer.set_outstanding(others.outstanding);
         answer.set_unread(others.unread);
+        answer.set_admitted(note.admissions_per_second() > 0 && m_admissions.admit(note.target(), note.admissions_per_second(), now));
         const std::string text = answer.SerializeAsString();
         // An answer that cannot be sent at once is one that gets lost; the router goes by what it knows.
         boost::system::error_code lost;
--- a/src/routing/loadserver.h
+++ b/src/routing/loadserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "routing/loadbook.h"
+#include "routing/warmup.h"
 
 #include <absl/status/status.h>
 #include <boost/asio/any_io_executor.hpp>
@@ -11,8 +12,9 @@
 
 namespace bamboohold {
 
-/// Answers routers' questions about the load of the target on this host. Datagrams: an answer that comes late is worth nothing, and 180
-/// connections a router would take more memory than all else that it keeps of targets.
+/// Answers routers' questions about the load of the target on this host, and whether they may send it a request while it is cold.
+/// Datagrams: an answer that comes late is worth nothing, and 180 connections a router would take more memory than all else that it keeps
+/// of targets.
 ///
 /// Whoever reaches the port can report loads, as whoever reaches the relay's can use it. False ones cost time only: they choose among
 /// targets, and a target admits or declines by itself.
@@ -33,6 +35,7 @@
     boost::asio::ip::udp::endpoint m_listen;
     boost::asio::ip::udp::socket m_socket;
     LoadBook m_book;
+    WarmupAdmissions m_admissions;
 };
 
 }
--- a/src/tests/loadlinktest.cpp
+++ b/src/tests/loadlinktest.cpp
@@ -58,6 +58,22 @@
         loop.restart();
     }
 
+    Admission askAdmission(LoadLink &link, LoadNotice notice, double requestsPerSecond)
+    {
+        Admission admission = Admission::NoRelay;
+        asio::co_spawn(
+            loop,
+            [&]() -> asio::awaitable<void> {
+                admission = co_await link.askAdmission(notice, requestsPerSecond);
+            },
+            [this](const std::exception_ptr &) {
+                loop.stop();
+            });
+        loop.run();
+        loop.restart();
+        return admission;
+    }
+
     /// Answers come within microseconds here; this only bounds a test that fails.
     static constexpr Duration s_patience = std::chrono::milliseconds(200);
 
@@ -100,4 +116,17 @@
     BOOST_TEST((steadyNow() - begun < Scene::s_patience));
 }
 
+// Guards against a cold target that gets requests on the word of a relay that has just started and does not know what it granted before, or
+// of none at all.
+BOOST_AUTO_TEST_CASE(onlyAnAnswerAdmits)
+{
+    Scene scene;
+    BOOST_TEST((scene.askAdmission(scene.one, scene.notice({}), 10) == Admission::Denied));
+    LoadNotice nobody = scene.notice({});
+    nobody.relay = "127.0.0.1:9";
+    BOOST_TEST((scene.askAdmission(scene.one, nobody, 10) == Admission::NoRelay));
+    nobody.relay.clear();
+    BOOST_TEST((scene.askAdmission(scene.one, nobody, 10) == Admission::NoRelay));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/warmuptest.cpp
@@ -0,0 +1,130 @@
+#include "routing/warmup.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace bamboohold;
+
+namespace {
+
+using Millis = std::int64_t;
+
+constexpr std::string_view s_target = "target@1";
+
+Instant at(Millis time)
+{
+    return Instant{} + std::chrono::hours(1) + std::chrono::milliseconds(time);
+}
+
+/// What a cold target takes in any second by the users' rule.
+std::size_t mostInASecond(double requestsPerSecond)
+{
+    return static_cast<std::size_t>(requestsPerSecond * 1.5 + 5);
+}
+
+std::size_t busiestSecond(std::vector<Millis> arrivals)
+{
+    std::ranges::sort(arrivals);
+    std::size_t most = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        const auto end = std::lower_bound(first, arrivals.end(), *first + 1000);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(WarmupTest)
+
+// Guards against a burst that crashes a cold target: routers ask as often as they can, answers get lost or come late, routers sleep with an
+// admission in hand, and the relay starts again, all at any moment.
+BOOST_AUTO_TEST_CASE(relayBoundsEverySecond)
+{
+    const bool held = rc::check("no second has more than the target takes", [] {
+        const double rate = *rc::gen::element(1.0, 4.5, 10.0, 50.0);
+        const int routers = *rc::gen::inRange(1, 40);
+        const int restartEvery = *rc::gen::element(0, 700, 2500);
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        auto relay = std::make_unique<WarmupAdmissions>(at(-10'000));
+        std::vector<Millis> arrivals;
+        for (Millis now = 0; now < 5000; ++now) {
+            if (restartEvery > 0 && now % restartEvery == restartEvery - 1) {
+                relay = std::make_unique<WarmupAdmissions>(at(now));
+            }
+            for (int router = 0; router < routers; ++router) {
+                if (random() % 20 != 0) {
+                    continue;
+                }
+                // The question was sent earlier, the answer takes a while, and the router may sleep before it uses it.
+                const Millis asked = now - static_cast<Millis>(random() % 10);
+                const bool granted = relay->admit(1, rate, at(now));
+                const Millis used = now + static_cast<Millis>(random() % 10 == 0 ? random() % 3000 : random() % 20);
+                const bool inTime = at(used) < at(asked) + s_admissionLifetime;
+                if (granted && inTime && random() % 10 != 0) {
+                    arrivals.push_back(used);
+                }
+            }
+        }
+        RC_ASSERT(busiestSecond(arrivals) <= mostInASecond(rate));
+    });
+    BOOST_TEST(held);
+}
+
+// Guards against the same burst where no relay runs: routers that agree on who lives stay within the bound, whatever their number.
+BOOST_AUTO_TEST_CASE(sharesBoundEverySecond)
+{
+    const bool held = rc::check("no second has more than the target takes", [] {
+        const double rate = *rc::gen::element(1.0, 4.5, 10.0, 50.0);
+        const int count = *rc::gen::inRange(1, 120);
+        std::vector<std::string> names;
+        for (int router = 0; router < count; ++router) {
+            names.push_back(absl::StrCat("router-", router));
+        }
+        std::vector<WarmupShares> routers;
+        for (const std::string &name : names) {
+            routers.emplace_back(name).setRouters(names);
+        }
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        std::vector<Millis> arrivals;
+        std::size_t admitted = 0;
+        for (Millis now = 0; now < 4000; now += 1 + static_cast<Millis>(random() % 4)) {
+            if (routers[random() % routers.size()].admit(s_target, rate, at(now))) {
+                ++admitted;
+                arrivals.push_back(now + static_cast<Millis>(random() % 300));
+            }
+        }
+        RC_ASSERT(busiestSecond(arrivals) <= mostInASecond(rate));
+        RC_ASSERT(admitted > 0U);
+    });
+    BOOST_TEST(held);
+}
+
+// Guards against a target that stays idle when it could warm up: a relay uses the whole rate.
+BOOST_AUTO_TEST_CASE(relayAdmitsTheRate)
+{
+    WarmupAdmissions relay(at(-10'000));
+    int admitted = 0;
+    for (Millis now = 0; now < 13'000; now += 10) {
+        admitted += relay.admit(1, 10, at(now)) ? 1 : 0;
+    }
+    BOOST_TEST(admitted == 100);
+}
+
+// Guards against admissions of an earlier life that count against the one that is there now.
+BOOST_AUTO_TEST_CASE(newLifeHasAdmissionsOfItsOwn)
+{
+    WarmupAdmissions relay(at(-10'000));
+    BOOST_TEST(relay.admit(1, 1, at(0)));
+    BOOST_TEST(!relay.admit(1, 1, at(1)));
+    BOOST_TEST(relay.admit(2, 1, at(2)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
