Operators evacuate failure domains with `bamboohold domain`, and the fleet with sidecars follows

What operators saw: the product's own interface had no word for an evacuated domain; only the users' platform could order one. Change: `domain evacuate NAME`, `domain restore NAME` and `domain list`; a row a domain in the platform's table, which routers read with the configuration. TargetTable leaves the domain's targets out as it does those that leave. TargetTableTest has the rule.

--- a/src/cli/arguments.cpp
+++ b/src/cli/arguments.cpp
@@ -141,7 +141,10 @@
                        "  budget ledger [NAME]           the charges, one line a request\n"
                        "  request show ID                where a request went and what it cost\n"
                        "  explain ID FILE...             what the routers' logs say about a request, and why it ended so\n"
-                       "  node list                      router incarnations and what they hold\n\n"
+                       "  node list                      router incarnations and what they hold\n"
+                       "  domain list                    the failure domains, and which are evacuated\n"
+                       "  domain evacuate NAME           send nothing new to a failure domain's targets\n"
+                       "  domain restore NAME            send to them again\n\n"
                        "Options, each also as BAMBOOHOLD_OPTION in the environment:\n";
     for (const gflags::CommandLineFlagInfo &flag : ownFlags()) {
         absl::StrAppend(&text,
--- /dev/null
+++ b/src/cli/domaincommands.cpp
@@ -0,0 +1,114 @@
+#include "cli/domaincommands.h"
+
+#include "cli/output.h"
+#include "configuration/configurationstore.h"
+#include "membership/evacuationrows.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <iostream>
+#include <set>
+
+namespace bamboohold {
+
+namespace {
+
+std::string evacuationKey(const std::string &domain)
+{
+    return std::string(s_evacuationRowPrefix) + domain;
+}
+
+/// The failure domains of the register in force.
+asio::awaitable<absl::StatusOr<std::set<std::string>>> knownDomains(PlatformClient &platform)
+{
+    const auto stored = co_await newestConfiguration(platform);
+    if (!stored.ok()) {
+        co_return stored.status();
+    }
+    std::set<std::string> domains;
+    if (stored->inventory) {
+        for (const FailureDomain &domain : stored->inventory->failureDomains) {
+            domains.insert(domain.name);
+        }
+    }
+    co_return domains;
+}
+
+/// Writes or removes the domain's row. Doing it again changes nothing, so a lost answer is made good by giving the command again.
+asio::awaitable<ExitCode>
+changeDomain(PlatformClient &platform, const Arguments &arguments, TableOperation operation, std::string_view done)
+{
+    TableTransaction transaction;
+    transaction.operations.push_back(std::move(operation));
+    if (arguments.dryRun) {
+        std::cout << "'" << arguments.words[2] << "' would be " << done << "\n";
+        co_return ExitCode::Done;
+    }
+    const auto verdict = co_await platform.transact(transaction);
+    if (!verdict.ok()) {
+        co_return reportFailure(toFailure(verdict.status()));
+    }
+    std::cout << "'" << arguments.words[2] << "' is " << done << "\n";
+    co_return ExitCode::Done;
+}
+
+ExitCode nameMissing(std::string_view command)
+{
+    return reportFailure(
+        {.kind = FailureKind::InvalidSetting, .detail = absl::StrCat(std::string(command), " takes a failure domain's name")});
+}
+
+}
+
+asio::awaitable<ExitCode> listDomains(PlatformClient &platform, const Arguments &arguments)
+{
+    auto domains = co_await knownDomains(platform);
+    if (!domains.ok()) {
+        co_return reportFailure(toFailure(domains.status()));
+    }
+    const auto rows = co_await platform.scan(s_evacuationRowPrefix);
+    if (!rows.ok()) {
+        co_return reportFailure(toFailure(rows.status()));
+    }
+    std::set<std::string> evacuated;
+    for (const TableRow &row : *rows) {
+        evacuated.insert(row.key.substr(s_evacuationRowPrefix.size()));
+    }
+    domains->insert(evacuated.begin(), evacuated.end());
+    boost::json::array lines;
+    for (const std::string &domain : *domains) {
+        lines.emplace_back(boost::json::object{{"domain", domain}, {"state", evacuated.contains(domain) ? "evacuated" : "in service"}});
+    }
+    printRows(lines, {"domain", "state"}, arguments);
+    co_return ExitCode::Done;
+}
+
+asio::awaitable<ExitCode> evacuateDomain(PlatformClient &platform, const Arguments &arguments)
+{
+    if (arguments.words.size() != 3) {
+        co_return nameMissing("domain evacuate");
+    }
+    const std::string domain = arguments.words[2];
+    const auto domains = co_await knownDomains(platform);
+    if (!domains.ok()) {
+        co_return reportFailure(toFailure(domains.status()));
+    }
+    if (!domains->contains(domain)) {
+        co_return reportFailure(
+            {.kind = FailureKind::NotFound, .detail = absl::StrCat("no failure domain '", domain, "' in the register")});
+    }
+    boost::json::object fields{{"author", arguments.author}};
+    TableOperation write = putRow(evacuationKey(domain), std::move(fields), std::nullopt);
+    co_return co_await changeDomain(platform, arguments, std::move(write), "evacuated");
+}
+
+asio::awaitable<ExitCode> restoreDomain(PlatformClient &platform, const Arguments &arguments)
+{
+    if (arguments.words.size() != 3) {
+        co_return nameMissing("domain restore");
+    }
+    TableOperation removal{.kind = TableOperation::Kind::Remove, .key = evacuationKey(arguments.words[2])};
+    co_return co_await changeDomain(platform, arguments, std::move(removal), "in service");
+}
+
+}
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,6 @@
 #include "cli/arguments.h"
 #include "cli/budgetcommands.h"
+#include "cli/domaincommands.h"
 #include "cli/explaincommand.h"
 #include "cli/inventorycommands.h"
 #include "cli/output.h"
@@ -29,6 +30,9 @@
         {"budget ledger", showLedger},
         {"request show", showRequest},
         {"node list", listNodes},
+        {"domain list", listDomains},
+        {"domain evacuate", evacuateDomain},
+        {"domain restore", restoreDomain},
     };
     return s_commands;
 }
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -2,11 +2,13 @@
 
 #include "budget/budgetrows.h"
 #include "clock/steadytime.h"
+#include "membership/evacuationrows.h"
 #include "net/incarnation.h"
 #include "net/pause.h"
 #include "operations/log.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -121,6 +123,7 @@
     }
     asio::io_context &loop = m_pool.mainLoop();
     asio::co_spawn(loop, followConfiguration(), asio::detached);
+    asio::co_spawn(loop, followEvacuations(), asio::detached);
     asio::co_spawn(loop, followPeers(), asio::detached);
     asio::co_spawn(loop, heartbeats(), asio::detached);
     asio::co_spawn(loop, m_budgets.run(), asio::detached);
@@ -281,6 +284,27 @@
     }
 }
 
+asio::awaitable<void> Router::followEvacuations()
+{
+    std::set<std::string> inForce;
+    while (true) {
+        const auto rows = co_await m_platform.scan(s_evacuationRowPrefix);
+        if (rows.ok()) {
+            std::set<std::string> domains;
+            for (const TableRow &row : *rows) {
+                domains.insert(row.key.substr(s_evacuationRowPrefix.size()));
+            }
+            if (domains != inForce) {
+                logLine(Severity::Info, "evacuations.in_force", {{"domains", absl::StrJoin(domains, ",")}});
+                inForce = domains;
+            }
+            const std::lock_guard lock(m_routingMutex);
+            m_targets.setEvacuated(std::move(domains));
+        }
+        co_await pause(m_settings.configurationPoll);
+    }
+}
+
 asio::awaitable<void> Router::followPeers()
 {
     while (true) {
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -48,6 +48,7 @@
 
     asio::awaitable<void> followConfiguration();
     asio::awaitable<void> fetchConfiguration();
+    asio::awaitable<void> followEvacuations();
     asio::awaitable<void> followPeers();
     asio::awaitable<void> heartbeats();
     asio::awaitable<void> watchForDeadRouters();
--- a/src/routing/targettable.cpp
+++ b/src/routing/targettable.cpp
@@ -1,6 +1,7 @@
 #include "routing/targettable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboohold {
 
@@ -35,6 +36,11 @@
     m_entries = std::move(kept);
 }
 
+void TargetTable::setEvacuated(std::set<std::string> domains)
+{
+    m_evacuated = std::move(domains);
+}
+
 void TargetTable::reported(std::string_view target, const TargetReport &report, Instant now)
 {
     const auto found = m_entries.find(std::string(target));
@@ -50,7 +56,8 @@
 {
     const bool heard = entry.heardAt && now - *entry.heardAt <= m_options.silenceLimit;
     const bool paused = entry.pausedUntil && now < *entry.pausedUntil;
-    return heard && !paused && !entry.report.leaving && entry.report.engineReachable;
+    const bool withdrawn = entry.report.leaving || m_evacuated.contains(entry.place.failureDomain);
+    return heard && !paused && !withdrawn && entry.report.engineReachable;
 }
 
 double TargetTable::score(const Entry &entry)
--- a/src/routing/targettable.h
+++ b/src/routing/targettable.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -49,7 +50,8 @@
 
 /// What a router knows of the targets, and its choice among them.
 ///
-/// Pure. A target takes part while its sidecar reports; silence, a leaving mark and an unreachable engine take it out. Load is the last
+/// Pure. A target takes part while its sidecar reports; silence, a leaving mark, an unreachable engine and the evacuation of its failure
+/// domain take it out. Load is the last
 /// report plus what this router has sent since, so that a lagging report does not draw a herd.
 class TargetTable
 {
@@ -66,6 +68,9 @@
     /// Takes over the register: new targets join, missing ones go.
     void setPlaces(std::vector<TargetPlace> places);
 
+    /// The targets of these failure domains, and of no others, get nothing new. Requests under way there go on.
+    void setEvacuated(std::set<std::string> domains);
+
     /// A report arrived.
     void reported(std::string_view target, const TargetReport &report, Instant now);
 
@@ -111,6 +116,7 @@
     static double score(const Entry &entry);
 
     Options m_options;
+    std::set<std::string> m_evacuated;
     std::vector<std::string> m_order;
     absl::flat_hash_map<std::string, Entry> m_entries;
 };
--- a/src/tests/targettabletest.cpp
+++ b/src/tests/targettabletest.cpp
@@ -31,6 +31,21 @@
 
 }
 
+// Guards against requests to a failure domain that its operators are emptying, and against one that stays empty.
+BOOST_AUTO_TEST_CASE(evacuatedDomainGetsNothing)
+{
+    TargetTable table({});
+    table.setEvacuated({"north"});
+    table.setPlaces({{.name = "a", .model = "m", .failureDomain = "north"}, {.name = "b", .model = "m", .failureDomain = "south"}});
+    table.reported("a", {.incarnation = "a~1"}, at(0));
+    table.reported("b", {.incarnation = "b~1"}, at(0));
+    BOOST_TEST(chosen(table, 1) == "b");
+    table.setEvacuated({"north", "south"});
+    BOOST_TEST(chosen(table, 1) == "none");
+    table.setEvacuated({});
+    BOOST_TEST(chosen(table, 1) == "a");
+}
+
 BOOST_AUTO_TEST_CASE(countsWhatItSentSinceTheReport)
 {
     TargetTable table = twoTargets();
