Callers of an overloaded host are told when their connections reach another one

Cause: the balancer keeps sending a caller to the host until it has missed two questions a second apart, and Retry-After said 0.05 or 1.2 s by the share refused, not by when the host left. Change: Retry-After is what is left of 2.1 s since the host said that it is not ready, 0.05 s afterwards.

--- a/src/gateway/loadshedder.cpp
+++ b/src/gateway/loadshedder.cpp
@@ -56,6 +56,15 @@
     return m_awayUntil && now < *m_awayUntil;
 }
 
+std::optional<Duration> LoadShedder::untilElsewhere(Instant now) const
+{
+    if (!overloaded(now)) {
+        return std::nullopt;
+    }
+    const Instant since = *m_awayUntil - m_away;
+    return std::max(Duration::zero(), since + s_rotationTime - now);
+}
+
 bool LoadShedder::refuses(std::uint64_t draw) const
 {
     constexpr std::uint64_t steps = 1'000'000;
--- a/src/gateway/loadshedder.h
+++ b/src/gateway/loadshedder.h
@@ -48,12 +48,19 @@
     /// Whether connections should go to other hosts.
     bool overloaded(Instant now) const;
 
+    /// How long until new connections reach other hosts, zero once they do; none while the host is not overloaded. A caller that comes back
+    /// earlier is sent here again.
+    std::optional<Duration> untilElsewhere(Instant now) const;
+
     /// The share that is refused.
     double share() const
     {
         return m_share;
     }
 
+    /// A balancer that asks once a second sends connections elsewhere after two misses.
+    static constexpr Duration s_rotationTime = std::chrono::milliseconds(2100);
+
     /// How often the delay should be measured.
     static constexpr Duration s_tick = std::chrono::milliseconds(50);
 
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -32,12 +32,8 @@
 constexpr std::int64_t s_retryAfterDrainMs = 1000;
 /// Told to callers when no target has room; queues there drain within about this time.
 constexpr std::int64_t s_retryAfterOverloadMs = 1000;
-/// Told to callers of an overloaded router: while it lets most requests in, the next attempt is most likely let in as well, or reaches
-/// another one. When it refuses most, the balancer has to send them elsewhere first, which it does after two misses a second apart; an
-/// attempt before that is refused again.
-constexpr double s_mostlyLetIn = 0.4;
-constexpr std::int64_t s_retryElsewhereMs = 50;
-constexpr std::int64_t s_retryAfterRotationMs = 1200;
+/// Told to callers of an overloaded router whose next attempt reaches another one, or is most likely let in.
+constexpr Duration s_retryElsewhere = std::chrono::milliseconds(50);
 /// Told to callers while this router does not know its plan yet.
 constexpr std::int64_t s_retryAfterStartMs = 700;
 /// One in this many requests that went well is logged; every other one is.
@@ -127,10 +123,10 @@
             {.kind = FailureKind::Draining, .detail = "this router ends before the request would", .retryAfterMs = s_retryAfterDrainMs});
     }
     if (m_gateway.m_shedder.refuses(stableHash(m_terms.requestId))) {
-        const bool soon = m_gateway.m_shedder.share() < s_mostlyLetIn;
+        const Duration elsewhere = m_gateway.m_shedder.untilElsewhere(m_arrived).value_or(Duration::zero());
         return toStatus({.kind = FailureKind::Overloaded,
                          .detail = "this router is overloaded",
-                         .retryAfterMs = soon ? s_retryElsewhereMs : s_retryAfterRotationMs});
+                         .retryAfterMs = inMs(std::max(s_retryElsewhere, elsewhere))});
     }
     if (const absl::Status held = heldBack(); !held.ok()) {
         return held;
--- a/src/tests/loadsheddertest.cpp
+++ b/src/tests/loadsheddertest.cpp
@@ -79,6 +79,20 @@
     BOOST_TEST((second >= first + std::chrono::seconds(7)));
 }
 
+// Guards against callers that are told to come back before the balancer sends them to another host, and are refused twice.
+BOOST_AUTO_TEST_CASE(callersReturnWhenConnectionsGoElsewhere)
+{
+    LoadShedder shedder;
+    Host host;
+    BOOST_TEST(!shedder.untilElsewhere(host.now).has_value());
+    while (!shedder.overloaded(host.now)) {
+        host.play(shedder, 10, 60, 1);
+    }
+    BOOST_TEST((shedder.untilElsewhere(host.now) == LoadShedder::s_rotationTime));
+    BOOST_TEST((shedder.untilElsewhere(host.now + std::chrono::seconds(1)) == LoadShedder::s_rotationTime - std::chrono::seconds(1)));
+    BOOST_TEST((shedder.untilElsewhere(host.now + std::chrono::seconds(3)) == Duration::zero()));
+}
+
 BOOST_AUTO_TEST_CASE(hostWithTimeLeftRefusesNothing)
 {
     LoadShedder shedder;
