What a keeper does not lend is no demand on its part

A keeper counted each ask of a borrower as demand before it looked whether it can lend. By that demand checkpoints promise, which counts as spent at a death, and budgets count as not ample. Change: demand is what was lent. Asks that wait still draw from the pool, through what waits. Kept as a mend of a wrong count.

--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -291,17 +291,19 @@
     if (!account.holding.keeps()) {
         co_return Loan{.tokens = account.holding.lend(asked, steadyNow())};
     }
-    // What peers borrow is demand on the part that this router keeps.
-    account.holding.noteRequest(asked, steadyNow());
     // When that is more than this router holds, the peer gets all of it, as soon as a checkpoint covers it.
     const Tokens held = account.holding.unused();
     const Wish wish{.bound = held > 0 ? std::min(asked, held) : asked, .longest = m_options.longestLoanWait, .mayBorrow = false};
     const std::variant<Reservation, HoldingRefusal> result = co_await waitFor(account, team, wish);
     if (const auto *reservation = std::get_if<Reservation>(&result)) {
         account.holding.lendReserved(*reservation);
+        account.holding.noteRequest(wish.bound, steadyNow());
         co_return Loan{.tokens = wish.bound};
     }
     Loan loan{.tokens = account.holding.lend(asked, steadyNow())};
+    if (loan.tokens > 0) {
+        account.holding.noteRequest(loan.tokens, steadyNow());
+    }
     logLine(Severity::Info,
             "budget.lent_short",
             {{"team", team},
--- a/src/tests/teamledgertest.cpp
+++ b/src/tests/teamledgertest.cpp
@@ -218,4 +218,28 @@
     BOOST_TEST(loan.tokens >= s_prepaid / 4);
 }
 
+// Guards against a keeper that takes asks which it cannot serve for demand: each borrower repeats them at every keeper, the keepers promise
+// to commit for all of them, and that much counts as spent when one dies.
+BOOST_AUTO_TEST_CASE(whatIsNotLentIsNoDemand)
+{
+    Scene scene;
+    BOOST_TEST(scene.reserve(1).ok());
+    const auto row = [&] {
+        for (const StoredRow &stored : scene.store.rows.read(s_budgetTable, "team", 0).rows) {
+            if (stored.address.key == holderKey("10.0.0.1:80")) {
+                return stored;
+            }
+        }
+        return StoredRow{};
+    };
+    for (int asked = 0; asked < 20; ++asked) {
+        scene.lend(10 * s_prepaid);
+    }
+    const std::uint64_t before = row().version;
+    scene.runUntil([&] {
+        return row().version > before;
+    });
+    BOOST_TEST(holderRowFrom(row()).demand <= s_prepaid);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
