--- a/scripts/fleetlib.py
+++ b/scripts/fleetlib.py
@@ -10,6 +10,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build" / "src"
+# What a fleet runs.
+PROGRAMS = ("bamboohold", "bambooholdd", "bamboohold-engine", "bamboohold-platform")
 RUN = ROOT / "run"
 FLEET_FILE = RUN / "fleet.json"
 CALLER_PORT = 8080
