--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -226,7 +226,7 @@
         return m_targets.contains(incarnation);
     }
 
-    /// Why the target takes no new work; none when it does. Targets that are not known are none's.
+    /// Why the target takes no new work; none when it does, and for a target that is not known.
     std::optional<Withdrawal> withdrawal(const std::string &incarnation) const;
 
     /// True when the end of the target is expected: it is withdrawn, or the list does not show it any more. Requests that it
