--- a/src/gateway/callercodec.h
+++ b/src/gateway/callercodec.h
@@ -8,6 +8,7 @@
 #include <absl/status/statusor.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,10 @@
     bool otherProcess = false;
     /// The body was changed on its way.
     bool altered = false;
+    /// Requests a second that the target takes from all routers together, for as long as its answers say so.
+    std::optional<double> limit;
+    /// A header about the target that cannot be read; empty where there is none.
+    std::string unreadable;
 };
 
 /// How a failure is told to callers of one interface.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,10 @@
 #include "net/endpoint.h"
 #include "operations/log.h"
 
+#include <absl/strings/str_cat.h>
+
+#include <array>
+
 namespace bamboohold {
 
 namespace {
@@ -114,6 +118,29 @@
     }
 }
 
+void Gateway::countSent(const std::string &incarnation)
+{
+    const std::string_view limited = m_board.limit(incarnation) ? "yes" : "no";
+    const std::array<MetricLabel, 2> labels{{{.name = "target", .value = incarnation}, {.name = "limited", .value = limited}}};
+    m_metrics.count("target_requests_total", labels);
+}
+
+void Gateway::noteTargetTerms(const std::string &incarnation, const AnswerTerms &answer, Instant sentAt)
+{
+    if (!answer.unreadable.empty()) {
+        logLine(Severity::Warning, "target.header_unreadable", {{"target", incarnation}, {"header", answer.unreadable}});
+    }
+    const std::optional<double> before = m_board.limit(incarnation);
+    if (answer.limit) {
+        m_board.limited(incarnation, *answer.limit, steadyNow());
+        if (before != answer.limit) {
+            logLine(Severity::Info, "target.limited", {{"target", incarnation}, {"requests_per_second", absl::StrCat(*answer.limit)}});
+        }
+    } else if (answer.sealed && m_board.unlimited(incarnation, sentAt)) {
+        logLine(Severity::Info, "target.limit_ended", {{"target", incarnation}});
+    }
+}
+
 void Gateway::renewLoads()
 {
     for (const std::string &incarnation : m_board.inUse()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -142,6 +142,10 @@
     asio::awaitable<std::optional<Placement>> leastLoaded(PlacementWish wish);
     asio::awaitable<bool> admitted(Placement placement, double coldPerSecond);
     void tellLoad(const std::string &incarnation);
+    /// Counts a request to a target, by whether the target is known to limit what it takes.
+    void countSent(const std::string &incarnation);
+    /// Takes what an answer to a request that was sent at that instant says about its target.
+    void noteTargetTerms(const std::string &incarnation, const AnswerTerms &answer, Instant sentAt);
     std::optional<LoadNotice> loadNotice(const std::string &incarnation) const;
 
     /// The connections to one target. A process that has taken over an address gets connections of its own: one that its predecessor left
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -185,6 +185,7 @@
         m_lastHeard = now;
         m_sign = TargetSign::Neutral;
         m_gateway.m_board.sent(placement->incarnation, m_terms.prompt, placement->uncached, now);
+        m_gateway.countSent(placement->incarnation);
         m_gateway.tellLoad(placement->incarnation);
         end = co_await attempt(*placement);
         noteAttemptEnd(end);
@@ -329,6 +330,7 @@
 {
     const AnswerTerms answer = m_gateway.m_options.codec.readAnswer(call.status(), call.headers());
     const unsigned status = call.status();
+    m_gateway.noteTargetTerms(m_placement->incarnation, answer, m_attemptAt);
     if (answer.otherProcess) {
         m_gateway.m_board.replaced(m_placement->incarnation);
     }
--- a/src/gateway/targetboard.cpp
+++ b/src/gateway/targetboard.cpp
@@ -460,6 +460,31 @@
     target.cached.clear();
 }
 
+void TargetBoard::limited(const std::string &incarnation, double requestsPerSecond, Instant now)
+{
+    const auto found = m_targets.find(incarnation);
+    if (found != m_targets.end()) {
+        found->second.limit = requestsPerSecond;
+        found->second.limitHeardAt = now;
+    }
+}
+
+bool TargetBoard::unlimited(const std::string &incarnation, Instant sentAt)
+{
+    const auto found = m_targets.find(incarnation);
+    if (found == m_targets.end() || !found->second.limit || sentAt < found->second.limitHeardAt) {
+        return false;
+    }
+    found->second.limit.reset();
+    return true;
+}
+
+std::optional<double> TargetBoard::limit(const std::string &incarnation) const
+{
+    const auto found = m_targets.find(incarnation);
+    return found == m_targets.end() ? std::nullopt : found->second.limit;
+}
+
 void TargetBoard::replaced(const std::string &incarnation)
 {
     const auto found = m_targets.find(incarnation);
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -211,6 +211,16 @@
     /// An attempt whose answer had begun is over.
     void done(const std::string &incarnation, TargetSign sign, Instant now);
 
+    /// The target takes this many requests a second from all routers together, as its answers say.
+    void limited(const std::string &incarnation, double requestsPerSecond, Instant now);
+
+    /// An answer to a request that was sent at that instant names no limit. Returns whether that ends one: an answer to a request that was
+    /// sent before the limit was heard of may be older than the limit.
+    bool unlimited(const std::string &incarnation, Instant sentAt);
+
+    /// Requests a second that the target takes from all routers together; none where it names no limit.
+    std::optional<double> limit(const std::string &incarnation) const;
+
     /// Another process answers at the target's address.
     void replaced(const std::string &incarnation);
 
@@ -271,6 +281,9 @@
         TargetLoad others;
         std::optional<Instant> heardAt;
         std::optional<Instant> relaySilentAt;
+        /// Requests a second that it takes from all routers together, and when that was heard last.
+        std::optional<double> limit;
+        Instant limitHeardAt{};
     };
 
     /// A target in the order in which a service's targets are looked at.
