TargetLimitTest fails: a target that names a limit gets all the same

What callers and targets see: a target names a limit of 1 request a second in its answers and gets 40 of 40 requests, where 11 may come in four seconds, alone as with a free target beside it.

--- /dev/null
+++ b/src/tests/gatewayscene.cpp
@@ -0,0 +1,225 @@
+#include "tests/gatewayscene.h"
+
+#include "clock/steadytime.h"
+#include "net/pause.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace bamboohold {
+
+namespace {
+
+constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
+
+}
+
+CallerCodec testCodec()
+{
+    CallerCodec codec;
+    codec.readRequest = [](const http::fields &fields) -> absl::StatusOr<RequestTerms> {
+        RequestTerms terms{
+            .requestId = std::string(fields["X-Id"]), .patience = std::chrono::seconds(3), .key = std::string(fields["X-Key"])};
+        terms.promptTokens = fields.count("X-Tokens") > 0 ? 10 : 0;
+        return terms;
+    };
+    codec.dispatchHeaders = [](const HttpRequest &request, const DispatchTerms &terms) {
+        std::vector<HttpHeader> headers = endToEndHeaders(request);
+        headers.push_back({.name = "X-Team", .value = terms.team});
+        headers.push_back({.name = "X-Resume", .value = terms.resumeAfter});
+        return headers;
+    };
+    codec.readAnswer = [](unsigned, const http::fields &fields) {
+        AnswerTerms answer{
+            .requestId = std::string(fields["X-Id"]), .sealed = fields.count("X-Seal") > 0, .notRun = fields.count("X-Not-Run") > 0};
+        if (fields.count("X-Limit") > 0) {
+            answer.limit = std::stod(std::string(fields["X-Limit"]));
+        }
+        return answer;
+    };
+    codec.refusal = [](const Failure &failure) {
+        CallerRefusal refusal{.status = httpStatus(failure.kind)};
+        if (failure.retryAfterMs) {
+            refusal.headers.push_back({.name = "X-Retry-Ms", .value = absl::StrCat(*failure.retryAfterMs)});
+        }
+        return refusal;
+    };
+    return codec;
+}
+
+std::shared_ptr<const RoutingPlan> testPlan()
+{
+    const auto route = [](std::string prefix, Repeatability repeatability, unsigned attempts, bool resumable) {
+        return Route{.name = prefix,
+                     .host = "app.example",
+                     .prefix = prefix,
+                     .services = {{.service = "service"}},
+                     .repeatability = repeatability,
+                     .timeout = std::chrono::seconds(3),
+                     .maxAttempts = attempts,
+                     .resumable = resumable};
+    };
+    // Whoever expects an answer this late only gets no second attempt by time alone.
+    Route patient = route("/patient/", Repeatability::Idempotent, 2, false);
+    patient.objective = patient.timeout;
+    RoutingPlan::Content content{.version = 5,
+                                 .routes = {route("/once/", Repeatability::AtMostOnce, 2, false),
+                                            route("/again/", Repeatability::Idempotent, 2, false),
+                                            route("/stream/", Repeatability::Stream, 1, false),
+                                            route("/resume/", Repeatability::Stream, 2, true),
+                                            patient},
+                                 .services = {{.name = "service"}},
+                                 .teams = {{.name = "team", .keys = {"key"}}}};
+    return std::make_shared<const RoutingPlan>(std::move(content));
+}
+
+GatewayScene::GatewayScene(std::vector<std::vector<PeerAction>> scripts, bool withPlan, Duration startPatience)
+    : m_startPatience(startPatience)
+    , m_pool(1)
+    , m_ledger(m_pool.mainLoop().get_executor(), {.holder = "router", .incarnation = "router~1"})
+    , m_gateway(m_pool.mainLoop().get_executor(), options(), m_ledger, m_metrics)
+    , m_server(m_pool, {.address = "127.0.0.1", .port = s_port, .exclusive = true}, [this](HttpExchange &exchange) {
+        return m_gateway.handle(exchange);
+    })
+{
+    std::vector<TargetListing> listings;
+    for (std::vector<PeerAction> &script : scripts) {
+        m_targets.push_back(std::make_unique<ScriptedPeer>(m_pool, std::move(script)));
+        listings.push_back({.incarnation = absl::StrCat("target-", m_targets.size()),
+                            .service = "service",
+                            .address = m_targets.back()->address(),
+                            .failureDomain = "here"});
+    }
+    m_gateway.board().setAll(std::move(listings), Instant{});
+    if (withPlan) {
+        m_gateway.setPlan(testPlan());
+    }
+    BOOST_REQUIRE(m_server.open().ok());
+}
+
+std::string GatewayScene::exchange(std::string request, std::optional<Duration> leaveAfter)
+{
+    std::string answer;
+    asio::co_spawn(m_pool.mainLoop(), call(std::move(request), answer, leaveAfter), [this](const std::exception_ptr &) {
+        m_pool.stop();
+    });
+    m_pool.run();
+    m_pool.mainLoop().restart();
+    return answer;
+}
+
+void GatewayScene::bringPlanLate()
+{
+    asio::co_spawn(
+        m_pool.mainLoop(),
+        [this]() -> asio::awaitable<void> {
+            asio::steady_timer timer(m_pool.mainLoop(), std::chrono::milliseconds(50));
+            co_await timer.async_wait(s_tuple);
+            m_gateway.setPlan(testPlan());
+        },
+        asio::detached);
+}
+
+void GatewayScene::removeSecondTarget()
+{
+    m_gateway.board().unlisted("target-2", Instant{});
+}
+
+void GatewayScene::rebirthFirstTarget()
+{
+    asio::co_spawn(
+        m_pool.mainLoop(),
+        [this]() -> asio::awaitable<void> {
+            // Until the request has reached the former life.
+            while (m_targets.front()->requests().empty()) {
+                co_await pause(std::chrono::milliseconds(5));
+            }
+            m_gateway.board().listed({.incarnation = "target-1@2",
+                                      .service = "service",
+                                      .address = m_targets.back()->address(),
+                                      .failureDomain = "here",
+                                      .identity = "target-1"},
+                                     steadyNow());
+            while (true) {
+                co_await pause(std::chrono::milliseconds(20));
+                m_gateway.prune();
+            }
+        },
+        asio::detached);
+}
+
+void GatewayScene::replaceFirstTarget()
+{
+    const TargetListing next{.incarnation = "next", .service = "service", .address = m_targets.front()->address(), .failureDomain = "here"};
+    m_gateway.board().unlisted("target-1", Instant{});
+    m_gateway.board().listed(next, Instant{});
+}
+
+const ScriptedPeer &GatewayScene::target(std::size_t index) const
+{
+    return *m_targets.at(index);
+}
+
+std::size_t GatewayScene::runs() const
+{
+    std::size_t sum = 0;
+    for (const auto &target : m_targets) {
+        sum += target->requests().size();
+    }
+    return sum;
+}
+
+Gateway::Options GatewayScene::options()
+{
+    Gateway::Options options;
+    options.codec = testCodec();
+    options.board.failureDomain = "here";
+    options.startPatience = m_startPatience;
+    options.routers = [] {
+        return std::size_t(1);
+    };
+    return options;
+}
+
+asio::awaitable<void> GatewayScene::call(std::string request, std::string &answer, std::optional<Duration> leaveAfter)
+{
+    asio::ip::tcp::socket socket(m_pool.mainLoop());
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), s_port);
+    co_await socket.async_connect(endpoint, s_tuple);
+    co_await asio::async_write(socket, asio::buffer(request), s_tuple);
+    if (leaveAfter) {
+        asio::steady_timer timer(m_pool.mainLoop(), *leaveAfter);
+        if (*leaveAfter > Duration::zero()) {
+            co_await timer.async_wait(s_tuple);
+        }
+        socket.close();
+        timer.expires_after(std::chrono::milliseconds(100));
+        co_await timer.async_wait(s_tuple);
+        co_return;
+    }
+    co_await asio::async_read(socket, asio::dynamic_buffer(answer), s_tuple);
+}
+
+std::string request(const std::string &path, const std::string &headers)
+{
+    return absl::StrCat(
+        "POST ", path, "1 HTTP/1.1\r\nHost: app.example\r\nX-Id: r1\r\nConnection: close\r\n", headers, "Content-Length: 4\r\n\r\nbody");
+}
+
+PeerAction sound()
+{
+    return {.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\n", "answer")};
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+}
--- a/src/tests/gatewaytest.cpp
+++ b/src/tests/gatewaytest.cpp
@@ -1,16 +1,7 @@
-#include "gateway/gateway.h"
-
 #include "clock/steadytime.h"
-#include "net/pause.h"
-#include "tests/scriptedpeer.h"
+#include "tests/gatewayscene.h"
 
 #include <absl/strings/str_cat.h>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -19,229 +10,6 @@
 
 namespace {
 
-constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
-
-/// A caller's interface with headers of this test's own.
-CallerCodec testCodec()
-{
-    CallerCodec codec;
-    codec.readRequest = [](const http::fields &fields) -> absl::StatusOr<RequestTerms> {
-        RequestTerms terms{
-            .requestId = std::string(fields["X-Id"]), .patience = std::chrono::seconds(3), .key = std::string(fields["X-Key"])};
-        terms.promptTokens = fields.count("X-Tokens") > 0 ? 10 : 0;
-        return terms;
-    };
-    codec.dispatchHeaders = [](const HttpRequest &request, const DispatchTerms &terms) {
-        std::vector<HttpHeader> headers = endToEndHeaders(request);
-        headers.push_back({.name = "X-Team", .value = terms.team});
-        headers.push_back({.name = "X-Resume", .value = terms.resumeAfter});
-        return headers;
-    };
-    codec.readAnswer = [](unsigned, const http::fields &fields) {
-        return AnswerTerms{.requestId = std::string(fields["X-Id"]),
-                           .sealed = fields.count("X-Seal") > 0,
-                           .notRun = fields.count("X-Not-Run") > 0,
-                           .otherProcess = false,
-                           .altered = false};
-    };
-    codec.refusal = [](const Failure &failure) {
-        CallerRefusal refusal{.status = httpStatus(failure.kind)};
-        if (failure.retryAfterMs) {
-            refusal.headers.push_back({.name = "X-Retry-Ms", .value = absl::StrCat(*failure.retryAfterMs)});
-        }
-        return refusal;
-    };
-    return codec;
-}
-
-std::shared_ptr<const RoutingPlan> testPlan()
-{
-    const auto route = [](std::string prefix, Repeatability repeatability, unsigned attempts, bool resumable) {
-        return Route{.name = prefix,
-                     .host = "app.example",
-                     .prefix = prefix,
-                     .services = {{.service = "service"}},
-                     .repeatability = repeatability,
-                     .timeout = std::chrono::seconds(3),
-                     .maxAttempts = attempts,
-                     .resumable = resumable};
-    };
-    // Whoever expects an answer this late only gets no second attempt by time alone.
-    Route patient = route("/patient/", Repeatability::Idempotent, 2, false);
-    patient.objective = patient.timeout;
-    RoutingPlan::Content content{.version = 5,
-                                 .routes = {route("/once/", Repeatability::AtMostOnce, 2, false),
-                                            route("/again/", Repeatability::Idempotent, 2, false),
-                                            route("/stream/", Repeatability::Stream, 1, false),
-                                            route("/resume/", Repeatability::Stream, 2, true),
-                                            patient},
-                                 .services = {{.name = "service"}},
-                                 .teams = {{.name = "team", .keys = {"key"}}}};
-    return std::make_shared<const RoutingPlan>(std::move(content));
-}
-
-/// One router with scripted targets, and a caller that sends bytes and reads all that comes back until the router closes.
-class Scene
-{
-public:
-    explicit Scene(std::vector<std::vector<PeerAction>> scripts,
-                   bool withPlan = true,
-                   Duration startPatience = std::chrono::milliseconds(20))
-        : m_startPatience(startPatience)
-        , m_pool(1)
-        , m_ledger(m_pool.mainLoop().get_executor(), {.holder = "router", .incarnation = "router~1"})
-        , m_gateway(m_pool.mainLoop().get_executor(), options(), m_ledger, m_metrics)
-        , m_server(m_pool, {.address = "127.0.0.1", .port = s_port, .exclusive = true}, [this](HttpExchange &exchange) {
-            return m_gateway.handle(exchange);
-        })
-    {
-        std::vector<TargetListing> listings;
-        for (std::vector<PeerAction> &script : scripts) {
-            m_targets.push_back(std::make_unique<ScriptedPeer>(m_pool, std::move(script)));
-            listings.push_back({.incarnation = absl::StrCat("target-", m_targets.size()),
-                                .service = "service",
-                                .address = m_targets.back()->address(),
-                                .failureDomain = "here"});
-        }
-        m_gateway.board().setAll(std::move(listings), Instant{});
-        if (withPlan) {
-            m_gateway.setPlan(testPlan());
-        }
-        BOOST_REQUIRE(m_server.open().ok());
-    }
-
-    /// Sends the bytes and returns what came back.
-    std::string exchange(std::string request, std::optional<Duration> leaveAfter = std::nullopt)
-    {
-        std::string answer;
-        asio::co_spawn(m_pool.mainLoop(), call(std::move(request), answer, leaveAfter), [this](const std::exception_ptr &) {
-            m_pool.stop();
-        });
-        m_pool.run();
-        m_pool.mainLoop().restart();
-        return answer;
-    }
-
-    /// The configuration comes once a request waits for it.
-    void bringPlanLate()
-    {
-        asio::co_spawn(
-            m_pool.mainLoop(),
-            [this]() -> asio::awaitable<void> {
-                asio::steady_timer timer(m_pool.mainLoop(), std::chrono::milliseconds(50));
-                co_await timer.async_wait(s_tuple);
-                m_gateway.setPlan(testPlan());
-            },
-            asio::detached);
-    }
-
-    /// The list shows the second target no longer.
-    void removeSecondTarget()
-    {
-        m_gateway.board().unlisted("target-2", Instant{});
-    }
-
-    /// The first target starts again under its name, at another address: that of the second script, which no list shows.
-    void rebirthFirstTarget()
-    {
-        asio::co_spawn(
-            m_pool.mainLoop(),
-            [this]() -> asio::awaitable<void> {
-                // Until the request has reached the former life.
-                while (m_targets.front()->requests().empty()) {
-                    co_await pause(std::chrono::milliseconds(5));
-                }
-                m_gateway.board().listed({.incarnation = "target-1@2",
-                                          .service = "service",
-                                          .address = m_targets.back()->address(),
-                                          .failureDomain = "here",
-                                          .identity = "target-1"},
-                                         steadyNow());
-                while (true) {
-                    co_await pause(std::chrono::milliseconds(20));
-                    m_gateway.prune();
-                }
-            },
-            asio::detached);
-    }
-
-    /// The first target's address goes over to another process.
-    void replaceFirstTarget()
-    {
-        const TargetListing next{
-            .incarnation = "next", .service = "service", .address = m_targets.front()->address(), .failureDomain = "here"};
-        m_gateway.board().unlisted("target-1", Instant{});
-        m_gateway.board().listed(next, Instant{});
-    }
-
-    const ScriptedPeer &target(std::size_t index) const
-    {
-        return *m_targets.at(index);
-    }
-
-    std::size_t runs() const
-    {
-        std::size_t sum = 0;
-        for (const auto &target : m_targets) {
-            sum += target->requests().size();
-        }
-        return sum;
-    }
-
-private:
-    static constexpr std::uint16_t s_port = 17611;
-
-    Gateway::Options options()
-    {
-        Gateway::Options options;
-        options.codec = testCodec();
-        options.board.failureDomain = "here";
-        options.startPatience = m_startPatience;
-        options.routers = [] {
-            return std::size_t(1);
-        };
-        return options;
-    }
-
-    asio::awaitable<void> call(std::string request, std::string &answer, std::optional<Duration> leaveAfter)
-    {
-        asio::ip::tcp::socket socket(m_pool.mainLoop());
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), s_port);
-        co_await socket.async_connect(endpoint, s_tuple);
-        co_await asio::async_write(socket, asio::buffer(request), s_tuple);
-        if (leaveAfter) {
-            asio::steady_timer timer(m_pool.mainLoop(), *leaveAfter);
-            if (*leaveAfter > Duration::zero()) {
-                co_await timer.async_wait(s_tuple);
-            }
-            socket.close();
-            timer.expires_after(std::chrono::milliseconds(100));
-            co_await timer.async_wait(s_tuple);
-            co_return;
-        }
-        co_await asio::async_read(socket, asio::dynamic_buffer(answer), s_tuple);
-    }
-
-    Duration m_startPatience;
-    WorkerPool m_pool;
-    Metrics m_metrics;
-    TeamLedger m_ledger;
-    Gateway m_gateway;
-    std::vector<std::unique_ptr<ScriptedPeer>> m_targets;
-    HttpServer m_server;
-};
-
-std::string request(const std::string &path, const std::string &headers = "X-Key: key\r\n")
-{
-    return absl::StrCat(
-        "POST ", path, "1 HTTP/1.1\r\nHost: app.example\r\nX-Id: r1\r\nConnection: close\r\n", headers, "Content-Length: 4\r\n\r\nbody");
-}
-
-PeerAction sound()
-{
-    return {.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\n", "answer")};
-}
-
 PeerAction declined()
 {
     return {.bytes = wholeAnswer(503, "X-Not-Run: 1\r\n", "")};
@@ -252,11 +20,6 @@
     return absl::StrCat("id: ", id, "\ndata: piece", id, "\n\n");
 }
 
-bool contains(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 /// The body of a chunked answer is whole only with its last chunk.
 bool wholeStream(const std::string &answer)
 {
@@ -269,7 +32,7 @@
 
 BOOST_AUTO_TEST_CASE(passesAnswerOn)
 {
-    Scene scene({{sound()}});
+    GatewayScene scene({{sound()}});
     const std::string answer = scene.exchange(request("/once/", "X-Key: key\r\nKeep-Alive: 9\r\nX-Other: kept\r\n"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
     BOOST_TEST(contains(answer, "X-Seal: s\r\n"));
@@ -292,7 +55,7 @@
         std::string status;
     };
     for (const Case &item : {Case{"/once/", "X-Key: wrong\r\n", "401"}, Case{"/nowhere/", "X-Key: key\r\n", "404"}}) {
-        Scene scene({{sound()}});
+        GatewayScene scene({{sound()}});
         BOOST_TEST(scene.exchange(request(item.path, item.headers)).starts_with("HTTP/1.1 " + item.status));
         BOOST_TEST(scene.runs() == 0U);
     }
@@ -301,7 +64,7 @@
 // A router that has just started knows no configuration. "No such route" or "no such key" could be false, and callers would not try again.
 BOOST_AUTO_TEST_CASE(withoutPlanSaysComeBack)
 {
-    Scene scene({{sound()}}, false);
+    GatewayScene scene({{sound()}}, false);
     const std::string answer = scene.exchange(request("/once/"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
     BOOST_TEST(contains(answer, "X-Retry-Ms: "));
@@ -311,7 +74,7 @@
 // They were refused and late when they came back; now they are served.
 BOOST_AUTO_TEST_CASE(requestsWaitForTheFirstPlan)
 {
-    Scene scene({{sound()}}, false, std::chrono::seconds(30));
+    GatewayScene scene({{sound()}}, false, std::chrono::seconds(30));
     scene.bringPlanLate();
     BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
     BOOST_TEST(scene.runs() == 1U);
@@ -320,14 +83,14 @@
 // A target declines; the request has not run and goes elsewhere, also when it must not run twice.
 BOOST_AUTO_TEST_CASE(declinedGoesElsewhere)
 {
-    Scene scene({{declined()}, {sound()}});
+    GatewayScene scene({{declined()}, {sound()}});
     BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
 }
 
 // All targets decline: the caller hears "not run", with a time to come back.
 BOOST_AUTO_TEST_CASE(declinedByAllIsNotRun)
 {
-    Scene scene({{declined()}, {declined()}});
+    GatewayScene scene({{declined()}, {declined()}});
     const std::string answer = scene.exchange(request("/once/"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
     BOOST_TEST(contains(answer, "X-Retry-Ms: "));
@@ -337,7 +100,7 @@
 // run.
 BOOST_AUTO_TEST_CASE(lostAnswerIsNotRepeated)
 {
-    Scene scene({{{.bytes = "", .ending = PeerEnding::Reset}}, {{.bytes = "", .ending = PeerEnding::Reset}}});
+    GatewayScene scene({{{.bytes = "", .ending = PeerEnding::Reset}}, {{.bytes = "", .ending = PeerEnding::Reset}}});
     const std::string answer = scene.exchange(request("/once/"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 502 "));
     BOOST_TEST(scene.runs() == 1U);
@@ -346,7 +109,7 @@
 // The same for a request that may run again: the other target serves it.
 BOOST_AUTO_TEST_CASE(lostAnswerOfIdempotentIsRepeated)
 {
-    Scene scene({{{.bytes = "", .ending = PeerEnding::Reset}}, {sound()}});
+    GatewayScene scene({{{.bytes = "", .ending = PeerEnding::Reset}}, {sound()}});
     BOOST_TEST(scene.exchange(request("/again/")).starts_with("HTTP/1.1 200 "));
     BOOST_TEST(scene.runs() == 2U);
 }
@@ -355,7 +118,7 @@
 BOOST_AUTO_TEST_CASE(failureOfTargetIsPassedOn)
 {
     const PeerAction failing{.bytes = wholeAnswer(500, "X-Id: r1\r\nX-Seal: f\r\n", "broken")};
-    Scene scene({{failing}, {failing}, {sound()}});
+    GatewayScene scene({{failing}, {failing}, {sound()}});
     const std::string answer = scene.exchange(request("/again/"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 500 "));
     BOOST_TEST(answer.ends_with("broken"));
@@ -372,7 +135,7 @@
         {.bytes = "rubbish\r\n\r\n", .ending = PeerEnding::Close},
     };
     for (const PeerAction &action : spoiled) {
-        Scene scene({{action}});
+        GatewayScene scene({{action}});
         const std::string answer = scene.exchange(request("/once/"));
         BOOST_TEST(answer.starts_with("HTTP/1.1 502 "), answer);
         BOOST_TEST(!contains(answer, "X-Seal"));
@@ -383,7 +146,7 @@
 BOOST_AUTO_TEST_CASE(foreignAnswerIsSkipped)
 {
     const std::string foreign = wholeAnswer(200, "X-Id: r0\r\nX-Seal: s0\r\n", "not yours");
-    Scene scene({{{.bytes = foreign + sound().bytes}}});
+    GatewayScene scene({{{.bytes = foreign + sound().bytes}}});
     const std::string answer = scene.exchange(request("/once/"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
     BOOST_TEST(!contains(answer, "not yours"));
@@ -393,7 +156,7 @@
 // A target sends bytes behind a complete answer: they belong to nobody, and the connection is not used again.
 BOOST_AUTO_TEST_CASE(extraBytesBelongToNobody)
 {
-    Scene scene({{{.bytes = sound().bytes + "HTTP/1.1 200 OK\r\nX-Seal: late\r\nContent-Length: 3\r\n\r\nxyz"}, sound()}});
+    GatewayScene scene({{{.bytes = sound().bytes + "HTTP/1.1 200 OK\r\nX-Seal: late\r\nContent-Length: 3\r\n\r\nxyz"}, sound()}});
     BOOST_TEST(scene.exchange(request("/once/")).ends_with("\r\n\r\nanswer"));
     BOOST_TEST(scene.exchange(request("/once/")).ends_with("\r\n\r\nanswer"));
     BOOST_TEST(scene.target(0).closedByCaller() >= 1U);
@@ -403,7 +166,7 @@
 // one would swallow a request for the second, which then could not be repeated.
 BOOST_AUTO_TEST_CASE(nextProcessGetsConnectionsOfItsOwn)
 {
-    Scene scene({{sound()}});
+    GatewayScene scene({{sound()}});
     BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
     BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
     BOOST_TEST(scene.target(0).connections() == 1U);
@@ -416,7 +179,7 @@
 // deadline, although the list showed the new life, which knew nothing of the request and had room for it.
 BOOST_AUTO_TEST_CASE(aRequestLeavesASilentFormerLife)
 {
-    Scene scene({{{.bytes = "", .ending = PeerEnding::Silent}}, {{.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\n", "ok")}}});
+    GatewayScene scene({{{.bytes = "", .ending = PeerEnding::Silent}}, {{.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\n", "ok")}}});
     scene.removeSecondTarget();
     scene.rebirthFirstTarget();
     BOOST_TEST(scene.exchange(request("/patient/")).starts_with("HTTP/1.1 200 "));
@@ -427,7 +190,7 @@
 // The same with a request that may not run twice: it is not sent again.
 BOOST_AUTO_TEST_CASE(aRequestThatMayNotRunTwiceStaysWithAFormerLife)
 {
-    Scene scene({{{.bytes = "", .ending = PeerEnding::Silent}}, {{.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\n", "ok")}}});
+    GatewayScene scene({{{.bytes = "", .ending = PeerEnding::Silent}}, {{.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\n", "ok")}}});
     scene.removeSecondTarget();
     scene.rebirthFirstTarget();
     BOOST_TEST(!scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
@@ -436,7 +199,7 @@
 
 BOOST_AUTO_TEST_CASE(passesStreamOn)
 {
-    Scene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)) + chunk(event(2)) + chunk("")}}});
+    GatewayScene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)) + chunk(event(2)) + chunk("")}}});
     const std::string answer = scene.exchange(request("/stream/"));
     BOOST_TEST(contains(answer, "piece1"));
     BOOST_TEST(contains(answer, "piece2"));
@@ -446,7 +209,7 @@
 // A stream that cannot be resumed breaks off midway: what the caller has must not look complete, and no torn event is passed on.
 BOOST_AUTO_TEST_CASE(brokenStreamDoesNotLookWhole)
 {
-    Scene scene(
+    GatewayScene scene(
         {{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)) + chunk("id: 2\ndata: pie"), .ending = PeerEnding::Reset}}});
     const std::string answer = scene.exchange(request("/stream/"));
     BOOST_TEST(!wholeStream(answer));
@@ -460,7 +223,7 @@
     const PeerAction first{.bytes = streamHead("X-Id: r1\r\nX-Seal: s1\r\n") + chunk(event(1)) + chunk("id: 2\nda"),
                            .ending = PeerEnding::Close};
     const PeerAction second{.bytes = streamHead("X-Id: r1\r\nX-Seal: s2\r\n") + chunk(event(2)) + chunk(event(3)) + chunk("")};
-    Scene scene({{first}, {second}});
+    GatewayScene scene({{first}, {second}});
     const std::string answer = scene.exchange(request("/resume/"));
     BOOST_TEST(wholeStream(answer));
     for (int id = 1; id <= 3; ++id) {
@@ -476,7 +239,7 @@
 // The caller leaves while its stream runs: the target's connection is closed, so that it stops working on an answer nobody wants.
 BOOST_AUTO_TEST_CASE(callerLeavingStopsTarget)
 {
-    Scene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)), .ending = PeerEnding::Silent}}});
+    GatewayScene scene({{{.bytes = streamHead("X-Id: r1\r\nX-Seal: s\r\n") + chunk(event(1)), .ending = PeerEnding::Silent}}});
     scene.exchange(request("/stream/"), std::chrono::milliseconds(50));
     BOOST_TEST(scene.runs() == 1U);
     BOOST_TEST(scene.target(0).closedByCaller() == 1U);
@@ -487,7 +250,7 @@
 BOOST_AUTO_TEST_CASE(requestOfGoneCallerIsNotSentOn)
 {
     for (const char *path : {"/once/", "/again/", "/stream/"}) {
-        Scene scene({{sound()}});
+        GatewayScene scene({{sound()}});
         scene.exchange(request(path), Duration::zero());
         BOOST_TEST(scene.runs() == 0U, path);
     }
@@ -505,7 +268,7 @@
         "GARBAGE\r\n\r\n",
     };
     for (const std::string &bytes : hostile) {
-        Scene scene({{sound()}});
+        GatewayScene scene({{sound()}});
         const std::string answer = scene.exchange(bytes);
         BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), bytes);
         BOOST_TEST(scene.runs() == 0U);
--- /dev/null
+++ b/src/tests/targetlimittest.cpp
@@ -0,0 +1,57 @@
+#include "clock/steadytime.h"
+#include "tests/gatewayscene.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace bamboohold;
+
+namespace {
+
+/// Requests that a target which takes `perSecond` may get by the users' rule, in a span of at least four seconds.
+double mostInSpan(double perSecond, Duration span)
+{
+    constexpr double leastSeconds = 4;
+    return 1.5 * perSecond * std::max(leastSeconds, seconds(span)) + 5;
+}
+
+PeerAction limited(const std::string &perSecond)
+{
+    return {.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\nX-Limit: " + perSecond + "\r\n", "answer")};
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(TargetLimitTest)
+
+// Guards against a target that gets more requests than it says that it takes.
+BOOST_AUTO_TEST_CASE(aTargetGetsNoMoreThanItTakes)
+{
+    constexpr int requests = 40;
+    GatewayScene scene({{limited("1")}});
+    const Instant begun = steadyNow();
+    int refused = 0;
+    for (int sent = 0; sent < requests; ++sent) {
+        const std::string answer = scene.exchange(request("/once/"));
+        refused += answer.starts_with("HTTP/1.1 503 ") && contains(answer, "X-Retry-Ms: ") ? 1 : 0;
+    }
+    const auto arrived = static_cast<int>(scene.target(0).requests().size());
+    BOOST_TEST(arrived <= mostInSpan(1, steadyNow() - begun));
+    BOOST_TEST(refused == requests - arrived);
+}
+
+// Guards against requests that are refused although another target has room.
+BOOST_AUTO_TEST_CASE(whatALimitedTargetDoesNotTakeGoesElsewhere)
+{
+    constexpr int requests = 40;
+    GatewayScene scene({{limited("1")}, {sound()}});
+    const Instant begun = steadyNow();
+    for (int sent = 0; sent < requests; ++sent) {
+        BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+    }
+    const auto arrived = static_cast<int>(scene.target(0).requests().size());
+    BOOST_TEST(arrived <= mostInSpan(1, steadyNow() - begun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
