Targets that name a limit get no more than that from all routers together

What was seen: engines that had named limits of 2 and 2.2 requests a second got 18 and 21 in four seconds, where 17 and 18 may come.

Cause: nobody read the limit. A target in need that goes on answering shows no load, no refusal and no failure, so that all routers sent by their score. Class: a bound over the sum of all routers that nobody keeps, like that of cold targets before.

Ruled out: each router keeping to the limit alone (logs after: the test's router knows the limit and sends on); requests decided before (the second break is 10 s after the limit was named); repeats (0 to 4 failures a target).

Change: limits are heard from answers; the relay beside a target, or one of the routers where none answers, admits requests for all routers by a rate; routers without an answer send their share of half the limit. A denied target is closed for as long as the denial says; where all are closed, the caller is refused at once with that time. WarmupShares spreads rates below one a second over a longer time.

Before: TargetLimitTest 40 of 40 requests arrive where 11 may.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,17 +4,22 @@
 #include "gateway/requestrun.h"
 #include "net/endpoint.h"
 #include "operations/log.h"
+#include "routing/limitadmissions.h"
+#include "routing/stablehash.h"
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 
 namespace bamboohold {
 
 namespace {
 
-/// Cold targets asked to admit one request; each question is a round trip that its caller waits for.
-constexpr int s_coldTargetsAsked = 3;
+/// Targets asked to admit one request; each question is a round trip that its caller waits for.
+constexpr int s_admissionsAsked = 3;
+/// The limit may end sooner than the next admission was promised for.
+constexpr Duration s_longestAdmissionWait = std::chrono::seconds(2);
 
 }
 
@@ -73,8 +78,11 @@
 {
     m_loads = &loads;
     m_loads->onAnswers(
-        [this](const std::string &incarnation, const TargetLoad &others) {
-            m_board.heard(incarnation, others, steadyNow());
+        [this](const std::string &incarnation, const TargetNews &news) {
+            m_board.heard(incarnation, news.others, steadyNow());
+            if (news.limit) {
+                heardLimit(incarnation, *news.limit, news.askedAt);
+            }
         },
         [this](const std::string &incarnation) {
             m_board.relaySilent(incarnation, steadyNow());
@@ -130,15 +138,50 @@
     if (!answer.unreadable.empty()) {
         logLine(Severity::Warning, "target.header_unreadable", {{"target", incarnation}, {"header", answer.unreadable}});
     }
-    const std::optional<double> before = m_board.limit(incarnation);
     if (answer.limit) {
-        m_board.limited(incarnation, *answer.limit, steadyNow());
-        if (before != answer.limit) {
-            logLine(Severity::Info, "target.limited", {{"target", incarnation}, {"requests_per_second", absl::StrCat(*answer.limit)}});
-        }
-    } else if (answer.sealed && m_board.unlimited(incarnation, sentAt)) {
+        const double limit = std::max(*answer.limit, LimitAdmissions::s_leastPerSecond);
+        setLimit(incarnation, limit);
+        tellLimit(incarnation, limit);
+    } else if (answer.sealed && endLimit(incarnation, sentAt)) {
+        // An answer that its target does not vouch for says nothing by what it lacks.
+        tellLimit(incarnation, 0);
+    }
+}
+
+void Gateway::setLimit(const std::string &incarnation, double requestsPerSecond)
+{
+    if (m_board.limit(incarnation) != requestsPerSecond) {
+        logLine(Severity::Info, "target.limited", {{"target", incarnation}, {"requests_per_second", absl::StrCat(requestsPerSecond)}});
+    }
+    m_board.limited(incarnation, requestsPerSecond, steadyNow());
+}
+
+bool Gateway::endLimit(const std::string &incarnation, Instant askedAt)
+{
+    const bool ended = m_board.unlimited(incarnation, askedAt);
+    if (ended) {
         logLine(Severity::Info, "target.limit_ended", {{"target", incarnation}});
     }
+    return ended;
+}
+
+void Gateway::tellLimit(const std::string &incarnation, double requestsPerSecond)
+{
+    if (m_loads != nullptr) {
+        LoadNotice notice = admissionNotice(incarnation);
+        notice.heardLimit = requestsPerSecond;
+        m_loads->tell(notice);
+    }
+}
+
+void Gateway::heardLimit(const std::string &incarnation, double requestsPerSecond, Instant askedAt)
+{
+    if (requestsPerSecond <= 0) {
+        endLimit(incarnation, askedAt);
+    } else if (m_board.limit(incarnation) != requestsPerSecond) {
+        // Only what a target itself says again makes a limit younger: an older answer does not end it.
+        setLimit(incarnation, requestsPerSecond);
+    }
 }
 
 void Gateway::renewLoads()
@@ -151,14 +194,18 @@
 asio::awaitable<std::optional<Placement>> Gateway::place(PlacementWish wish, double coldPerSecond)
 {
     std::vector<std::string> except(wish.except.begin(), wish.except.end());
-    for (int asked = 0; asked < s_coldTargetsAsked; ++asked) {
+    for (int asked = 0; asked < s_admissionsAsked; ++asked) {
         wish.except = except;
         std::optional<Placement> placement = co_await leastLoaded(wish);
-        if (!placement || !placement->cold || coldPerSecond <= 0) {
+        if (!placement) {
+            co_return std::nullopt;
+        }
+        const AdmissionRates rates{.cold = placement->cold ? coldPerSecond : 0, .limit = placement->limit.value_or(0)};
+        if (!rates.needed()) {
             co_return placement;
         }
         const Instant askedAt = steadyNow();
-        const bool admits = co_await admitted(*placement, coldPerSecond);
+        const bool admits = co_await admitted(*placement, rates);
         if (admits) {
             placement->sendBefore = askedAt + s_admissionLifetime;
             co_return placement;
@@ -166,22 +213,42 @@
         except.push_back(placement->incarnation);
     }
     wish.except = except;
-    wish.warmOnly = true;
-    std::optional<Placement> warm = co_await leastLoaded(wish);
-    co_return warm;
+    wish.withoutAdmission = true;
+    std::optional<Placement> free = co_await leastLoaded(wish);
+    co_return free;
 }
 
-asio::awaitable<bool> Gateway::admitted(Placement placement, double coldPerSecond)
+LoadNotice Gateway::admissionNotice(const std::string &incarnation) const
 {
-    Admission admission = Admission::NoRelay;
-    std::optional<LoadNotice> notice = loadNotice(placement.incarnation);
-    if (notice && m_options.warmupGrants) {
-        admission = co_await m_loads->askAdmission(*std::move(notice), coldPerSecond);
+    LoadNotice notice = loadNotice(incarnation).value_or(LoadNotice{.incarnation = incarnation});
+    if (!m_routers.empty() && !m_loads->answers(notice.relay)) {
+        const std::uint64_t hash = stableHash(incarnation);
+        notice.relay = *std::ranges::max_element(m_routers, {}, [hash](const std::string &router) {
+            return mixed(stableHash(router) ^ hash);
+        });
+    }
+    return notice;
+}
+
+asio::awaitable<bool> Gateway::admitted(Placement placement, AdmissionRates rates)
+{
+    AdmissionAnswer answer;
+    if (m_loads != nullptr && m_options.warmupGrants) {
+        LoadNotice notice =
+            rates.limit > 0 ? admissionNotice(placement.incarnation) : loadNotice(placement.incarnation).value_or(LoadNotice{});
+        answer = co_await m_loads->askAdmission(std::move(notice), rates);
+    }
+    // Where nobody answers, others may still be admitted by whoever does not answer here: half of a limit is left to them.
+    const bool alone = answer.admission == Admission::NoRelay || (answer.admission == Admission::Unanswered && rates.cold <= 0);
+    if (alone) {
+        const AdmissionRates shared{.cold = rates.cold, .limit = rates.limit / 2};
+        co_return m_shares.admit(placement.incarnation, shared.lowest(), steadyNow());
     }
-    if (admission == Admission::NoRelay) {
-        co_return m_shares.admit(placement.incarnation, coldPerSecond, steadyNow());
+    const bool granted = answer.admission == Admission::Granted;
+    if (!granted) {
+        m_board.closeUntil(placement.incarnation, steadyNow() + std::min(answer.wait, s_longestAdmissionWait));
     }
-    co_return admission == Admission::Granted;
+    co_return granted;
 }
 
 asio::awaitable<std::optional<Placement>> Gateway::leastLoaded(PlacementWish wish)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -106,9 +106,10 @@
         return m_guard;
     }
 
-    /// The routers that live, this one included.
+    /// The routers that live, this one included, by the addresses at which they answer questions about targets.
     void setRouters(std::span<const std::string> routers)
     {
+        m_routers.assign(routers.begin(), routers.end());
         m_shares.setRouters(routers);
     }
 
@@ -136,16 +137,29 @@
     }
 
     asio::awaitable<void> waitUntilReady();
-    /// Chooses a target for a request. One that is cold has to admit it; `coldPerSecond` requests a second do, 0 standing for all.
+    /// Chooses a target for a request. One that is cold or limits what it takes has to admit it; a cold one takes `coldPerSecond` requests
+    /// a second, 0 standing for any number.
     asio::awaitable<std::optional<Placement>> place(PlacementWish wish, double coldPerSecond);
     /// Chooses a target after it has asked a few for what others have there.
     asio::awaitable<std::optional<Placement>> leastLoaded(PlacementWish wish);
-    asio::awaitable<bool> admitted(Placement placement, double coldPerSecond);
+    /// Whether one request may go to a target that takes so few: by whoever admits requests there, or by this router's share of them.
+    asio::awaitable<bool> admitted(Placement placement, AdmissionRates rates);
     void tellLoad(const std::string &incarnation);
     /// Counts a request to a target, by whether the target is known to limit what it takes.
     void countSent(const std::string &incarnation);
     /// Takes what an answer to a request that was sent at that instant says about its target.
     void noteTargetTerms(const std::string &incarnation, const AnswerTerms &answer, Instant sentAt);
+    /// The target takes so many requests a second from all routers together from now on.
+    void setLimit(const std::string &incarnation, double requestsPerSecond);
+    /// Something asked at that instant was answered without a limit. Returns whether that ends one.
+    bool endLimit(const std::string &incarnation, Instant askedAt);
+    /// Tells who admits requests to the target what the target said of its limit; 0: it has none any more.
+    void tellLimit(const std::string &incarnation, double requestsPerSecond);
+    /// Other routers heard of the target's limit, as who admits requests there answered to a question of that instant.
+    void heardLimit(const std::string &incarnation, double requestsPerSecond, Instant askedAt);
+    /// What this router has at the target, for who admits requests there: the relay beside it, or else one of the routers, the same one for
+    /// all.
+    LoadNotice admissionNotice(const std::string &incarnation) const;
     std::optional<LoadNotice> loadNotice(const std::string &incarnation) const;
 
     /// The connections to one target. A process that has taken over an address gets connections of its own: one that its predecessor left
@@ -159,6 +173,7 @@
     Metrics &m_metrics;
     TargetBoard m_board;
     LoadLink *m_loads = nullptr;
+    std::vector<std::string> m_routers;
     WarmupShares m_shares;
     LoadShedder m_shedder;
     bool m_shedding = false;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -8,6 +8,7 @@
 #include "gateway/targetfollower.h"
 #include "membership/routerregistry.h"
 #include "quarantine/quarantinekeeper.h"
+#include "routing/loadserver.h"
 #include "store/tablewatcher.h"
 
 #include <absl/strings/str_cat.h>
@@ -77,6 +78,8 @@
         , m_checkpoints(m_store, m_ledger)
         , m_keeper(m_executor, m_store, m_ledger, {.routers = countedRouters()})
         , m_gateway(m_executor, gatewayOptions(), m_ledger, m_metrics)
+        // Datagrams and the link's connections share a port's number without touching each other.
+        , m_loadServer(m_executor, {asio::ip::make_address(m_options.link.address), m_options.link.port})
         , m_loads(m_executor, {.incarnation = m_options.incarnation, .address = m_options.link.address})
         , m_evacuations(m_gateway.board(), m_metrics, evacuationOptions())
         , m_help(m_link, m_store, m_ledger, m_gateway, m_evacuations, documentTaker())
@@ -115,6 +118,9 @@
         if (const absl::Status opened = m_link.open(); !opened.ok()) {
             return opened;
         }
+        if (const absl::Status opened = m_loadServer.open(); !opened.ok()) {
+            return opened;
+        }
         if (const absl::Status opened = m_loads.open(); !opened.ok()) {
             return opened;
         }
@@ -459,6 +465,7 @@
     CheckpointKeeper<Relayed> m_checkpoints;
     LedgerKeeper<Relayed> m_keeper;
     Gateway m_gateway;
+    LoadServer m_loadServer;
     LoadLink m_loads;
     EvacuationFollower m_evacuations;
     PeerHelp<Store> m_help;
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -490,7 +490,9 @@
     Failure failure{.kind = FailureKind::TargetLost, .detail = ran, .ran = notRun ? Ran::No : Ran::Unknown};
     if (notRun) {
         failure.kind = m_tried.empty() ? FailureKind::NoTarget : FailureKind::Overloaded;
-        failure.retryAfterMs = s_retryAfterOverloadMs;
+        const Instant now = steadyNow();
+        const std::optional<Instant> opens = m_gateway.m_board.opensAt(m_serviceName, now);
+        failure.retryAfterMs = opens ? inMs(*opens - now) + 1 : s_retryAfterOverloadMs;
     } else if (end == AttemptEnd::TimedOut) {
         failure.kind = FailureKind::DeadlineExceeded;
     }
--- a/src/gateway/targetboard.cpp
+++ b/src/gateway/targetboard.cpp
@@ -279,8 +279,9 @@
     const double queueing = m_options.msPerQueued * queued;
     const double distance = target.listing.failureDomain == m_options.failureDomain ? 0 : m_options.msOtherDomain;
     const double cold = now < target.coldUntil ? m_options.msCold : 0;
+    const double limited = target.limit ? m_options.msLimited : 0;
     const bool silent = target.relaySilentAt && now - *target.relaySilentAt < m_options.loadMemory;
-    return reading + running + queueing + distance + cold + overdue + (silent ? m_options.msSilentRelay : 0);
+    return reading + running + queueing + distance + cold + limited + overdue + (silent ? m_options.msSilentRelay : 0);
 }
 
 bool TargetBoard::resting(const Target &target, Instant now)
@@ -300,8 +301,9 @@
         const std::string &incarnation = target->listing.incarnation;
         const bool tried = std::ranges::find(wish.except, incarnation) != wish.except.end();
         const bool meant = wish.among.empty() || std::ranges::find(wish.among, incarnation) != wish.among.end();
-        const bool tooCold = wish.warmOnly && mayBeCold(*target, now);
-        if (!takesWork(*target) || tried || !meant || tooCold || resting(*target, now) != rested) {
+        const bool unadmitted = wish.withoutAdmission && (target->limit || mayBeCold(*target, now));
+        const bool closed = now < target->closedUntil;
+        if (!takesWork(*target) || closed || tried || !meant || unadmitted || resting(*target, now) != rested) {
             continue;
         }
         const bool first = !favoured.empty() && target == favoured.front();
@@ -342,7 +344,8 @@
                      .name = listing.name(),
                      .address = listing.address,
                      .uncached = best.front().uncached,
-                     .cold = mayBeCold(target, now)};
+                     .cold = mayBeCold(target, now),
+                     .limit = target.limit};
 }
 
 std::optional<TargetBoard::OwnLoad> TargetBoard::ownLoad(const std::string &incarnation) const
@@ -485,6 +488,25 @@
     return found == m_targets.end() ? std::nullopt : found->second.limit;
 }
 
+void TargetBoard::closeUntil(const std::string &incarnation, Instant until)
+{
+    const auto found = m_targets.find(incarnation);
+    if (found != m_targets.end()) {
+        found->second.closedUntil = std::max(found->second.closedUntil, until);
+    }
+}
+
+std::optional<Instant> TargetBoard::opensAt(std::string_view service, Instant now) const
+{
+    std::optional<Instant> first;
+    for (const PoolEntry &entry : pool(service).entries) {
+        if (takesWork(*entry.target)) {
+            first = std::min(first.value_or(Instant::max()), entry.target->closedUntil);
+        }
+    }
+    return first && *first > now ? first : std::nullopt;
+}
+
 void TargetBoard::replaced(const std::string &incarnation)
 {
     const auto found = m_targets.find(incarnation);
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -53,8 +53,8 @@
     std::span<const std::string> except;
     /// Where given, only these come into question.
     std::span<const std::string> among;
-    /// Only targets that are certainly warm come into question.
-    bool warmOnly = false;
+    /// Only targets that take a request without an admission come into question.
+    bool withoutAdmission = false;
     /// Decides between targets that are equally good, and which ones of many are looked at. Different for each request: routers with equal
     /// views that all took the first of equals would send much to one target and leave others idle.
     std::uint64_t draw = 0;
@@ -80,7 +80,9 @@
     Tokens uncached = 0;
     /// The target is cold, or may be: it takes few requests a second from all routers together.
     bool cold = false;
-    /// An admission to a cold target ends then.
+    /// Requests a second that the target takes from all routers together; none where it names no limit.
+    std::optional<double> limit;
+    /// An admission ends then.
     std::optional<Instant> sendBefore;
 };
 
@@ -149,6 +151,8 @@
         double msOtherDomain = 4;
         /// Milliseconds counted against a target that says that it is cold.
         double msCold = 60;
+        /// Milliseconds counted against a target that limits what it takes: an admission costs a round trip, and it is in need.
+        double msLimited = 60;
         /// A target that broke off, or whose failure domain is taken back, may have become cold before its record says so: its next
         /// record comes within about a second, and takes some time to arrive.
         Duration coldSuspicion = std::chrono::milliseconds(2500);
@@ -221,6 +225,12 @@
     /// Requests a second that the target takes from all routers together; none where it names no limit.
     std::optional<double> limit(const std::string &incarnation) const;
 
+    /// Nothing goes to the target until then. An earlier time than one that is known changes nothing.
+    void closeUntil(const std::string &incarnation, Instant until);
+
+    /// When the first of the service's targets takes something new; none where one does already, or none of them ever will.
+    std::optional<Instant> opensAt(std::string_view service, Instant now) const;
+
     /// Another process answers at the target's address.
     void replaced(const std::string &incarnation);
 
@@ -284,6 +294,8 @@
         /// Requests a second that it takes from all routers together, and when that was heard last.
         std::optional<double> limit;
         Instant limitHeardAt{};
+        /// Nothing goes there until then.
+        Instant closedUntil{};
     };
 
     /// A target in the order in which a service's targets are looked at.
--- a/src/routing/loadlink.cpp
+++ b/src/routing/loadlink.cpp
@@ -98,7 +98,11 @@
     note.set_outstanding(notice.load.outstanding);
     note.set_unread(notice.load.unread);
     note.set_asks(wanted.answer);
-    note.set_admissions_per_second(wanted.admissionsPerSecond);
+    note.set_admissions_per_second(wanted.rates.cold);
+    note.set_limited_per_second(wanted.rates.limit);
+    if (notice.heardLimit) {
+        note.set_heard_limit(*notice.heardLimit);
+    }
     const std::string text = note.SerializeAsString();
     // What cannot be sent at once is lost like any datagram: the next one has the whole state again.
     boost::system::error_code lost;
@@ -112,6 +116,12 @@
     return std::exchange(m_shortest, std::nullopt);
 }
 
+bool LoadLink::answers(const std::string &relay) const
+{
+    const auto known = m_relays.find(relay);
+    return known != m_relays.end() && known->second.everAnswered;
+}
+
 void LoadLink::tell(const LoadNotice &notice)
 {
     Relay *known = notice.relay.empty() ? nullptr : relay(notice.relay);
@@ -142,23 +152,23 @@
     }
 }
 
-asio::awaitable<Admission> LoadLink::askAdmission(LoadNotice notice, double requestsPerSecond)
+asio::awaitable<AdmissionAnswer> LoadLink::askAdmission(LoadNotice notice, AdmissionRates rates)
 {
     Relay *known = notice.relay.empty() ? nullptr : relay(notice.relay);
     if (known == nullptr) {
-        co_return Admission::NoRelay;
+        co_return AdmissionAnswer{};
     }
     const auto group = std::make_shared<Group>(m_executor);
     if (steadyNow() >= known->restsUntil) {
-        std::vector<std::uint64_t> asked{question(*known, notice, group, {.answer = true, .admissionsPerSecond = requestsPerSecond})};
+        std::vector<std::uint64_t> asked{question(*known, notice, group, {.answer = true, .rates = rates})};
         co_await awaitAnswers(group, std::move(asked));
     }
     if (group->admitted) {
-        co_return *group->admitted ? Admission::Granted : Admission::Denied;
+        co_return AdmissionAnswer{.admission = *group->admitted ? Admission::Granted : Admission::Denied, .wait = group->wait};
     }
     // The table of relays may have been cleared while this waited.
     known = relay(notice.relay);
-    co_return known != nullptr && known->everAnswered ? Admission::Unanswered : Admission::NoRelay;
+    co_return AdmissionAnswer{.admission = known != nullptr && known->everAnswered ? Admission::Unanswered : Admission::NoRelay};
 }
 
 std::uint64_t LoadLink::question(Relay &relay, const LoadNotice &notice, const std::shared_ptr<Group> &group, Wanted wanted)
@@ -236,7 +246,12 @@
         known->silences = 0;
     }
     question.group->admitted = answer.admitted();
-    m_heard(question.incarnation, {.outstanding = answer.outstanding(), .unread = answer.unread()});
+    question.group->wait = std::chrono::milliseconds(answer.wait_ms());
+    TargetNews news{.others = {.outstanding = answer.outstanding(), .unread = answer.unread()}, .askedAt = question.sentAt};
+    if (answer.has_limit()) {
+        news.limit = answer.limit();
+    }
+    m_heard(question.incarnation, news);
     if (--question.group->open == 0) {
         question.group->done.cancel();
     }
--- a/src/routing/loadlink.h
+++ b/src/routing/loadlink.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -28,9 +29,37 @@
     /// ADDRESS:PORT; empty where no relay runs.
     std::string relay;
     TargetLoad load;
+    /// What the target's newest answer to this router said of its limit, in requests a second; 0: it has none any more. Told once.
+    std::optional<double> heardLimit = std::nullopt;
 };
 
-/// What became of a router's question whether it may send a request to a cold target.
+/// What a relay said of a target.
+struct TargetNews {
+    TargetLoad others;
+    /// The target's limit as the routers heard it last, in requests a second: 0 where it has ended, none where nobody said anything.
+    std::optional<double> limit;
+    /// When the question was sent that this answers.
+    Instant askedAt{};
+};
+
+/// Why a target takes few requests from all routers together, in requests a second; 0 where it is not for that reason.
+struct AdmissionRates {
+    double cold = 0;
+    double limit = 0;
+
+    bool needed() const
+    {
+        return cold > 0 || limit > 0;
+    }
+
+    /// The lower of the two; 0 where neither is set.
+    double lowest() const
+    {
+        return cold > 0 && limit > 0 ? std::min(cold, limit) : std::max(cold, limit);
+    }
+};
+
+/// What became of a router's question whether it may send a request to a target that takes few.
 enum class Admission {
     Granted,
     Denied,
@@ -40,6 +69,12 @@
     NoRelay,
 };
 
+/// An answer to such a question, and how long until another one is worth asking; zero where that is not known.
+struct AdmissionAnswer {
+    Admission admission = Admission::NoRelay;
+    Duration wait{};
+};
+
 /// Tells the relays beside targets what this router has there, and asks them what all others have. Lives on one event loop.
 ///
 /// Every wait is a caller's: a question is given up after a few round trips, and a relay that did not answer several times is asked no more
@@ -64,7 +99,7 @@
     };
 
     /// Told what others have at a target, and of targets whose relay is known and said nothing.
-    using Heard = std::function<void(const std::string &incarnation, const TargetLoad &others)>;
+    using Heard = std::function<void(const std::string &incarnation, const TargetNews &news)>;
     using Silent = std::function<void(const std::string &incarnation)>;
 
     LoadLink(boost::asio::any_io_executor executor, Options options);
@@ -77,14 +112,17 @@
     /// Asks about all of these at once, and returns when they have answered or the time for it is up.
     boost::asio::awaitable<void> ask(std::span<const LoadNotice> notices);
 
-    /// Asks whether one request may be sent to the target, which takes this many a second from all routers while it is cold. The admission
-    /// is used within `s_admissionLifetime` of this call, or not at all.
-    boost::asio::awaitable<Admission> askAdmission(LoadNotice notice, double requestsPerSecond);
+    /// Asks whether one request may be sent to the target, which takes this many a second from all routers. The admission is used within
+    /// `s_admissionLifetime` of this call, or not at all.
+    boost::asio::awaitable<AdmissionAnswer> askAdmission(LoadNotice notice, AdmissionRates rates);
 
     /// The shortest round trip among the answers since the last call, late ones included; none when none came. Long ones tell that this
     /// host's link is full, or its processor: a relay that is slow by itself is one of many.
     std::optional<Duration> takeShortestRoundTrip();
 
+    /// True when the relay at that address has ever answered.
+    bool answers(const std::string &relay) const;
+
     /// Tells one relay, and wants no answer.
     void tell(const LoadNotice &notice);
 
@@ -98,8 +136,9 @@
 
         boost::asio::steady_timer done;
         std::size_t open = 0;
-        /// The last answer's word on a cold target.
+        /// The last answer's word on a target that takes few requests.
         std::optional<bool> admitted;
+        Duration wait{};
     };
 
     struct Question {
@@ -121,7 +160,7 @@
     /// What is wanted of a relay besides taking the notice.
     struct Wanted {
         bool answer = false;
-        double admissionsPerSecond = 0;
+        AdmissionRates rates{};
     };
 
     std::uint64_t send(Relay &relay, const LoadNotice &notice, Wanted wanted);
--- a/src/routing/loadserver.cpp
+++ b/src/routing/loadserver.cpp
@@ -30,7 +30,7 @@
 LoadServer::LoadServer(asio::any_io_executor executor, asio::ip::udp::endpoint listen)
     : m_listen(std::move(listen))
     , m_socket(executor)
-    , m_admissions(steadyNow())
+    , m_warmup(steadyNow())
 {
 }
 
@@ -56,6 +56,38 @@
     return m_socket.local_endpoint().port();
 }
 
+void LoadServer::reply(const wire::LoadNote &note, wire::LoadAnswer &answer)
+{
+    const Instant now = steadyNow();
+    const std::uint64_t target = note.target();
+    const TargetLoad own{.outstanding = note.outstanding(), .unread = note.unread()};
+    const TargetLoad others = m_book.noted({.router = note.router(), .target = target, .sequence = note.sequence(), .load = own}, now);
+    if (note.has_heard_limit()) {
+        m_limits.heard(target, note.heard_limit(), now);
+    }
+    if (note.limited_per_second() > 0 && !m_limits.limit(target)) {
+        m_limits.heard(target, note.limited_per_second(), now);
+    }
+    AdmissionVerdict verdict;
+    if (note.limited_per_second() > 0) {
+        const TargetLoad all{.outstanding = own.outstanding + others.outstanding, .unread = own.unread + others.unread};
+        verdict = m_limits.admit(target, note.limited_per_second(), all, now);
+    }
+    if (note.admissions_per_second() > 0 && (verdict.admitted || note.limited_per_second() <= 0)) {
+        verdict.admitted = m_warmup.admit(target, note.admissions_per_second(), now);
+    }
+    answer.Clear();
+    answer.set_target(target);
+    answer.set_sequence(note.sequence());
+    answer.set_outstanding(others.outstanding);
+    answer.set_unread(others.unread);
+    answer.set_admitted(verdict.admitted);
+    answer.set_wait_ms(static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(verdict.wait).count()));
+    if (const std::optional<double> limit = m_limits.limit(target)) {
+        answer.set_limit(*limit);
+    }
+}
+
 asio::awaitable<void> LoadServer::serve()
 {
     std::array<char, s_longestLoadMessage> message{};
@@ -71,20 +103,10 @@
         if (!note.ParseFromArray(message.data(), static_cast<int>(size))) {
             continue;
         }
-        const LoadReport report{.router = note.router(),
-                                .target = note.target(),
-                                .sequence = note.sequence(),
-                                .load = {.outstanding = note.outstanding(), .unread = note.unread()}};
-        const Instant now = steadyNow();
-        const TargetLoad others = m_book.noted(report, now);
+        reply(note, answer);
         if (!note.asks()) {
             continue;
         }
-        answer.set_target(note.target());
-        answer.set_sequence(note.sequence());
-        answer.set_outstanding(others.outstanding);
-        answer.set_unread(others.unread);
-        answer.set_admitted(note.admissions_per_second() > 0 && m_admissions.admit(note.target(), note.admissions_per_second(), now));
         const std::string text = answer.SerializeAsString();
         // An answer that cannot be sent at once is one that gets lost; the router goes by what it knows.
         boost::system::error_code lost;
--- a/src/routing/loadserver.h
+++ b/src/routing/loadserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/limitadmissions.h"
 #include "routing/loadbook.h"
 #include "routing/warmup.h"
 
@@ -12,9 +13,14 @@
 
 namespace bamboohold {
 
-/// Answers routers' questions about the load of the target on this host, and whether they may send it a request while it is cold.
-/// Datagrams: an answer that comes late is worth nothing, and 180 connections a router would take more memory than all else that it keeps
-/// of targets.
+namespace wire {
+class LoadAnswer;
+class LoadNote;
+}
+
+/// Answers routers' questions about the load of the target on this host, and whether they may send it a request while it is cold or limits
+/// what it takes. Runs in the relay beside a target; the routers answer each other's questions about targets that have none. Datagrams: an
+/// answer that comes late is worth nothing, and 180 connections a router would take more memory than all else that it keeps of targets.
 ///
 /// Whoever reaches the port can report loads, as whoever reaches the relay's can use it. False ones cost time only: they choose among
 /// targets, and a target admits or declines by itself.
@@ -31,11 +37,14 @@
 
 private:
     boost::asio::awaitable<void> serve();
+    /// Takes a note, and fills in the answer to it.
+    void reply(const wire::LoadNote &note, wire::LoadAnswer &answer);
 
     boost::asio::ip::udp::endpoint m_listen;
     boost::asio::ip::udp::socket m_socket;
     LoadBook m_book;
-    WarmupAdmissions m_admissions;
+    WarmupAdmissions m_warmup;
+    LimitAdmissions m_limits;
 };
 
 }
--- a/src/routing/warmup.cpp
+++ b/src/routing/warmup.cpp
@@ -69,16 +69,12 @@
     if (rank(target) >= chosen) {
         return false;
     }
-    absl::erase_if(m_last, [now](const auto &entry) {
-        return now - entry.second >= s_admissionSpan;
+    absl::erase_if(m_next, [now](const auto &entry) {
+        return entry.second <= now;
     });
-    const Duration pause = s_admissionSpan * chosen / admissions;
-    const auto [last, first] = m_last.try_emplace(std::string(target), now);
-    if (!first && now - last->second < pause) {
-        return false;
-    }
-    last->second = now;
-    return true;
+    const double spans = static_cast<double>(chosen) / static_cast<double>(admissions) / std::min(1.0, requestsPerSecond);
+    const auto pause = std::chrono::duration_cast<Duration>(s_admissionSpan * spans);
+    return m_next.try_emplace(std::string(target), now + pause).second;
 }
 
 }
--- a/src/routing/warmup.h
+++ b/src/routing/warmup.h
@@ -46,8 +46,8 @@
     std::deque<Instant> m_admitted;
 };
 
-/// The routers' own way where no relay runs beside a target: as many routers as the target takes requests a second, chosen alike by all,
-/// each send one in a span.
+/// The routers' own way where nobody answers their questions about a target: as many routers as the target takes requests a second, chosen
+/// alike by all, each send one in a span; where it takes less than one a second, one router does, in so much longer a time.
 ///
 /// What holds: no more than the admissions of a span in any second as long as routers agree on who lives. One that counts fewer routers
 /// than there are may take itself for one of the chosen.
@@ -69,8 +69,8 @@
 
     std::string m_self;
     std::vector<std::uint64_t> m_others;
-    /// When this router last sent one, by target.
-    absl::flat_hash_map<std::string, Instant> m_last;
+    /// When this router may send the next one, by target.
+    absl::flat_hash_map<std::string, Instant> m_next;
 };
 
 }
--- /dev/null
+++ b/src/tests/limitadmissionstest.cpp
@@ -0,0 +1,139 @@
+#include "routing/limitadmissions.h"
+
+#include "routing/warmup.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace bamboohold;
+
+namespace {
+
+using Millis = std::int64_t;
+
+constexpr Millis s_span = 4000;
+
+Instant at(Millis time)
+{
+    return Instant{} + std::chrono::hours(1) + std::chrono::milliseconds(time);
+}
+
+/// What a target takes in four seconds by the users' rule.
+double mostInSpan(double requestsPerSecond)
+{
+    return requestsPerSecond * 1.5 * 4 + 5;
+}
+
+std::size_t busiestSpan(std::vector<Millis> arrivals)
+{
+    std::ranges::sort(arrivals);
+    std::size_t most = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+        const auto end = std::upper_bound(first, arrivals.end(), *first + s_span);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(LimitAdmissionsTest)
+
+// Guards against a target that gets more than it takes from all routers together: answers get lost or come late, routers sleep with an
+// admission in hand, the limit changes, and who admits starts again, all at any moment.
+BOOST_AUTO_TEST_CASE(everySpanIsBounded)
+{
+    const bool held = rc::check("no four seconds have more than the target takes", [] {
+        const double rate = *rc::gen::element(0.0, 0.3, 1.0, 1.9, 4.5, 20.0);
+        const int routers = *rc::gen::inRange(1, 40);
+        const int restartEvery = *rc::gen::element(0, 700, 2500, 6000);
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        auto admissions = std::make_unique<LimitAdmissions>();
+        std::vector<Millis> arrivals;
+        for (Millis now = 0; now < 12'000; now += 2) {
+            if (restartEvery > 0 && now % restartEvery == 0) {
+                admissions = std::make_unique<LimitAdmissions>();
+            }
+            for (int router = 0; router < routers; ++router) {
+                if (random() % 20 != 0) {
+                    continue;
+                }
+                const bool granted = admissions->admit(1, rate, {}, at(now)).admitted;
+                const Millis used = now + static_cast<Millis>(random() % 10 == 0 ? random() % 3000 : random() % 20);
+                if (granted && at(used) < at(now) + s_admissionLifetime && random() % 10 != 0) {
+                    arrivals.push_back(used);
+                }
+            }
+        }
+        RC_ASSERT(static_cast<double>(busiestSpan(arrivals)) <= mostInSpan(rate));
+    });
+    BOOST_TEST(held);
+}
+
+// Guards against the same where nobody answers some of the routers: their shares and the admissions of the others stay within the bound.
+BOOST_AUTO_TEST_CASE(sharesAndAdmissionsTogetherAreBounded)
+{
+    const bool held = rc::check("no four seconds have more than the target takes", [] {
+        const double rate = *rc::gen::element(0.3, 1.0, 1.9, 4.5, 20.0);
+        const int count = *rc::gen::inRange(1, 60);
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        std::vector<std::string> names;
+        for (int router = 0; router < count; ++router) {
+            names.push_back(absl::StrCat("router-", router));
+        }
+        std::vector<WarmupShares> shares;
+        for (const std::string &name : names) {
+            shares.emplace_back(name).setRouters(names);
+        }
+        LimitAdmissions admissions;
+        std::vector<Millis> arrivals;
+        for (Millis now = 0; now < 12'000; now += 1 + static_cast<Millis>(random() % 4)) {
+            const bool answered = random() % 2 == 0;
+            const bool sends = answered ? admissions.admit(1, rate, {}, at(now)).admitted
+                                        : shares[random() % shares.size()].admit("target", rate / 2, at(now));
+            if (sends) {
+                arrivals.push_back(now + static_cast<Millis>(random() % 300));
+            }
+        }
+        RC_ASSERT(static_cast<double>(busiestSpan(arrivals)) <= mostInSpan(rate));
+    });
+    BOOST_TEST(held);
+}
+
+// Guards against a target that stays idle although it takes requests: its rate is used, and the wait that is told is true.
+BOOST_AUTO_TEST_CASE(theRateIsUsed)
+{
+    LimitAdmissions admissions;
+    int admitted = 0;
+    Millis next = 0;
+    for (Millis now = 0; now < 22'000; now += 10) {
+        if (now < next) {
+            continue;
+        }
+        const AdmissionVerdict verdict = admissions.admit(1, 2.5, {}, at(now));
+        admitted += verdict.admitted ? 1 : 0;
+        next = now + std::chrono::ceil<std::chrono::milliseconds>(verdict.wait).count();
+    }
+    BOOST_TEST(admitted >= 50);
+    BOOST_TEST(admitted <= 53);
+}
+
+// Guards against a target that gets its rate on top of what all routers had sent when it named its limit.
+BOOST_AUTO_TEST_CASE(whatIsUnderWayCounts)
+{
+    LimitAdmissions admissions;
+    const AdmissionVerdict busy = admissions.admit(1, 2, {.outstanding = 6}, at(0));
+    BOOST_TEST(!busy.admitted);
+    BOOST_TEST((busy.wait == std::chrono::seconds(3)));
+    BOOST_TEST(!admissions.admit(2, 2, {}, at(0)).admitted);
+    BOOST_TEST(admissions.admit(2, 2, {}, at(1300)).admitted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/loadlinktest.cpp
+++ b/src/tests/loadlinktest.cpp
@@ -28,8 +28,9 @@
         BOOST_REQUIRE(server.open().ok());
         for (LoadLink *link : {&one, &other}) {
             link->onAnswers(
-                [this](const std::string &incarnation, const TargetLoad &others) {
-                    heard[incarnation] = others;
+                [this](const std::string &incarnation, const TargetNews &news) {
+                    heard[incarnation] = news.others;
+                    limits[incarnation] = news.limit;
                 },
                 [this](const std::string &incarnation) {
                     silent.push_back(incarnation);
@@ -58,20 +59,20 @@
         loop.restart();
     }
 
-    Admission askAdmission(LoadLink &link, LoadNotice notice, double requestsPerSecond)
+    Admission askAdmission(LoadLink &link, LoadNotice notice, AdmissionRates rates)
     {
-        Admission admission = Admission::NoRelay;
+        AdmissionAnswer answer;
         asio::co_spawn(
             loop,
             [&]() -> asio::awaitable<void> {
-                admission = co_await link.askAdmission(notice, requestsPerSecond);
+                answer = co_await link.askAdmission(notice, rates);
             },
             [this](const std::exception_ptr &) {
                 loop.stop();
             });
         loop.run();
         loop.restart();
-        return admission;
+        return answer.admission;
     }
 
     /// Answers come within microseconds here; this only bounds a test that fails.
@@ -82,6 +83,7 @@
     LoadLink one;
     LoadLink other;
     std::map<std::string, TargetLoad> heard;
+    std::map<std::string, std::optional<double>> limits;
     std::vector<std::string> silent;
 };
 
@@ -121,12 +123,29 @@
 BOOST_AUTO_TEST_CASE(onlyAnAnswerAdmits)
 {
     Scene scene;
-    BOOST_TEST((scene.askAdmission(scene.one, scene.notice({}), 10) == Admission::Denied));
+    BOOST_TEST((scene.askAdmission(scene.one, scene.notice({}), {.cold = 10}) == Admission::Denied));
     LoadNotice nobody = scene.notice({});
     nobody.relay = "127.0.0.1:9";
-    BOOST_TEST((scene.askAdmission(scene.one, nobody, 10) == Admission::NoRelay));
+    BOOST_TEST((scene.askAdmission(scene.one, nobody, {.cold = 10}) == Admission::NoRelay));
     nobody.relay.clear();
-    BOOST_TEST((scene.askAdmission(scene.one, nobody, 10) == Admission::NoRelay));
+    BOOST_TEST((scene.askAdmission(scene.one, nobody, {.cold = 10}) == Admission::NoRelay));
+}
+
+// Guards against a limit that only the routers know which the target has answered, and against one that outlives its end at the others.
+BOOST_AUTO_TEST_CASE(routersHearOfLimits)
+{
+    Scene scene;
+    scene.ask(scene.one, scene.notice({}));
+    BOOST_TEST(!scene.limits["target"]);
+    LoadNotice told = scene.notice({});
+    told.heardLimit = 2.5;
+    scene.one.tell(told);
+    scene.ask(scene.other, scene.notice({}));
+    BOOST_TEST((scene.limits["target"] == 2.5));
+    told.heardLimit = 0;
+    scene.other.tell(told);
+    scene.ask(scene.one, scene.notice({}));
+    BOOST_TEST((scene.limits["target"] == 0.0));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
