--- a/src/gateway/callercodec.h
+++ b/src/gateway/callercodec.h
@@ -57,6 +57,10 @@
     bool altered = false;
     /// Requests a second that the target takes from all routers together, for as long as its answers say so.
     std::optional<double> limit;
+    /// The target says that it leaves: it takes nothing new.
+    bool leaving = false;
+    /// The target has turned the request away, and wants nothing from this router for so long.
+    std::optional<Duration> rest;
     /// A header about the target that cannot be read; empty where there is none.
     std::string unreadable;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -138,6 +138,14 @@
     if (!answer.unreadable.empty()) {
         logLine(Severity::Warning, "target.header_unreadable", {{"target", incarnation}, {"header", answer.unreadable}});
     }
+    if (answer.leaving) {
+        logLine(Severity::Info, "target.says_leaving", {{"target", incarnation}});
+    }
+    if (answer.rest) {
+        logLine(Severity::Info,
+                "target.asks_rest",
+                {{"target", incarnation}, {"rest_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*answer.rest).count()}});
+    }
     if (answer.limit) {
         const double limit = std::max(*answer.limit, LimitAdmissions::s_leastPerSecond);
         setLimit(incarnation, limit);
