TargetLeavingTest and TargetRestTest fail: what targets say in their answers is not kept to

What targets see: one whose answers say that it leaves gets 11 of 11 requests where it is alone; one that declines and asks for ten minutes of rest is asked again after 150 ms, and 10 of 10 times where it is alone, while its callers are told to come back in a second.

--- a/src/tests/gatewayscene.cpp
+++ b/src/tests/gatewayscene.cpp
@@ -41,6 +41,10 @@
         if (fields.count("X-Limit") > 0) {
             answer.limit = std::stod(std::string(fields["X-Limit"]));
         }
+        answer.leaving = fields.count("X-Leaving") > 0;
+        if (fields.count("X-Rest") > 0) {
+            answer.rest = std::chrono::seconds(std::stoi(std::string(fields["X-Rest"])));
+        }
         return answer;
     };
     codec.refusal = [](const Failure &failure) {
@@ -126,6 +130,12 @@
         asio::detached);
 }
 
+void GatewayScene::listFirstTargetAgain()
+{
+    m_gateway.board().listed(
+        {.incarnation = "target-1", .service = "service", .address = m_targets.front()->address(), .failureDomain = "here"}, steadyNow());
+}
+
 void GatewayScene::removeSecondTarget()
 {
     m_gateway.board().unlisted("target-2", Instant{});
--- a/src/tests/gatewayscene.h
+++ b/src/tests/gatewayscene.h
@@ -30,6 +30,9 @@
     /// The configuration comes once a request waits for it.
     void bringPlanLate();
 
+    /// A record of the first target as it was at the beginning, read once more.
+    void listFirstTargetAgain();
+
     /// The list shows the second target no longer.
     void removeSecondTarget();
 
--- /dev/null
+++ b/src/tests/targetleavingtest.cpp
@@ -0,0 +1,42 @@
+#include "tests/gatewayscene.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboohold;
+
+namespace {
+
+constexpr int s_requests = 10;
+
+PeerAction leaving()
+{
+    return {.bytes = wholeAnswer(200, "X-Id: r1\r\nX-Seal: s\r\nX-Leaving: 1\r\n", "answer")};
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(TargetLeavingTest)
+
+// Guards against requests to a target that leaves while the store, whose list would say so, is out of reach.
+BOOST_AUTO_TEST_CASE(whatAnAnswerSaysOfLeavingHolds)
+{
+    GatewayScene scene({{leaving()}, {sound()}});
+    for (int sent = 0; sent < s_requests; ++sent) {
+        BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+    }
+    BOOST_TEST(scene.target(0).requests().size() <= 1U);
+}
+
+// Guards against an older record of the list that brings a target back which has said that it leaves.
+BOOST_AUTO_TEST_CASE(noRecordBringsItBack)
+{
+    GatewayScene scene({{leaving()}});
+    BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+    for (int sent = 0; sent < s_requests; ++sent) {
+        scene.listFirstTargetAgain();
+        BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 503 "));
+    }
+    BOOST_TEST(scene.target(0).requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/tests/targetresttest.cpp
@@ -0,0 +1,51 @@
+#include "tests/gatewayscene.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+using namespace bamboohold;
+
+namespace {
+
+constexpr int s_requests = 10;
+/// Longer than the pause after a target that declines without a word.
+constexpr Duration s_between = std::chrono::milliseconds(40);
+
+PeerAction restingForMinutes()
+{
+    return {.bytes = wholeAnswer(503, "X-Id: r1\r\nX-Not-Run: 1\r\nX-Rest: 600\r\n", "")};
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(TargetRestTest)
+
+// Guards against a target that is asked again and again although it has asked for rest.
+BOOST_AUTO_TEST_CASE(aTargetGetsTheRestItAsksFor)
+{
+    GatewayScene scene({{restingForMinutes()}, {sound()}});
+    for (int sent = 0; sent < s_requests; ++sent) {
+        BOOST_TEST(scene.exchange(request("/once/")).starts_with("HTTP/1.1 200 "));
+        std::this_thread::sleep_for(s_between);
+    }
+    BOOST_TEST(scene.target(0).requests().size() <= 1U);
+}
+
+// Guards against rest that is broken for want of another target: callers are refused at once, with the time at which the rest ends.
+BOOST_AUTO_TEST_CASE(whereAllRestCallersAreToldWhenToComeBack)
+{
+    GatewayScene scene({{restingForMinutes()}});
+    for (int sent = 0; sent < s_requests; ++sent) {
+        const std::string answer = scene.exchange(request("/once/"));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+        const std::size_t at = answer.find("X-Retry-Ms: ");
+        BOOST_REQUIRE(at != std::string::npos);
+        const int waitMs = std::stoi(answer.substr(at + std::string("X-Retry-Ms: ").size()));
+        BOOST_TEST(waitMs > 300'000);
+        BOOST_TEST(waitMs <= 600'001);
+    }
+    BOOST_TEST(scene.target(0).requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
