A target whose answers say that it leaves gets nothing new, whatever the list shows

What was seen: with the store away, routers sent requests to an engine 3.0 and 3.3 s after its answers had told them that it leaves; 2.0 s are allowed.

Cause: leaving was read from the store's list alone, which no router had between 6.7 and 19.4 s. Class: a target's own word, on the way that still works, that nobody reads.

Ruled out: an older record that brings it back (no list was had by anyone); requests held up on their way (7 and 13 ms).

Change: TargetBoard keeps what a target says in answers (leaving, limit, closed until) apart from its record, final for leaving and outlasting a gap in the list. That another process has the address is the same word.

Before: TargetLeavingTest 10 and 11 requests where one may come.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -138,9 +138,12 @@
     if (!answer.unreadable.empty()) {
         logLine(Severity::Warning, "target.header_unreadable", {{"target", incarnation}, {"header", answer.unreadable}});
     }
-    if (answer.leaving) {
+    if (answer.leaving && m_board.withdrawal(incarnation) != Withdrawal::Leaving) {
         logLine(Severity::Info, "target.says_leaving", {{"target", incarnation}});
     }
+    if (answer.leaving || answer.otherProcess) {
+        m_board.leaves(incarnation);
+    }
     if (answer.rest) {
         logLine(Severity::Info,
                 "target.asks_rest",
--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -331,9 +331,6 @@
     const AnswerTerms answer = m_gateway.m_options.codec.readAnswer(call.status(), call.headers());
     const unsigned status = call.status();
     m_gateway.noteTargetTerms(m_placement->incarnation, answer, m_attemptAt);
-    if (answer.otherProcess) {
-        m_gateway.m_board.replaced(m_placement->incarnation);
-    }
     if (answer.notRun) {
         m_lastProblem = absl::StrCat("declined with ", status);
         m_sign = answer.otherProcess ? TargetSign::Neutral : TargetSign::Declined;
--- a/src/gateway/targetboard.cpp
+++ b/src/gateway/targetboard.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t s_maxDoublings = 8;
 /// Parts remembered for each target; more than an engine's memory holds.
 constexpr std::size_t s_maxCachedParts = 4096;
+/// Targets whose last words are remembered.
+constexpr std::size_t s_maxLastWords = 1024;
 constexpr double s_msPerSecond = 1000;
 /// Targets that are looked at for one request, besides its favourites: all of them on small fleets. Half of them are of the router's own
 /// failure domain. Keeps the choice at a few microseconds whatever the number of targets.
@@ -58,7 +60,12 @@
 
 void TargetBoard::forget(std::map<std::string, Target>::iterator target)
 {
-    m_incarnations.erase(target->second.listing.name());
+    const TargetListing &listing = target->second.listing;
+    if (m_lastWords.size() >= s_maxLastWords) {
+        m_lastWords.clear();
+    }
+    m_lastWords[listing.incarnation] = target->second.word;
+    m_incarnations.erase(listing.name());
     m_targets.erase(target);
     m_poolsValid = false;
 }
@@ -82,7 +89,11 @@
     }
     m_incarnations[listing.name()] = listing.incarnation;
     m_poolsValid = false;
-    Target &target = m_targets[listing.incarnation];
+    const auto [entry, added] = m_targets.try_emplace(listing.incarnation);
+    Target &target = entry->second;
+    if (const auto said = m_lastWords.find(listing.incarnation); added && said != m_lastWords.end()) {
+        target.word = said->second;
+    }
     // A target that has said that it leaves does not come back; an entry that says otherwise is older.
     listing.leaving = listing.leaving || target.listing.leaving;
     target.listing = std::move(listing);
@@ -111,7 +122,7 @@
     if (found == m_targets.end()) {
         return;
     }
-    if (storeTroubled(now) && !found->second.listing.leaving) {
+    if (storeTroubled(now) && !leaving(found->second)) {
         if (!found->second.doubtedSince) {
             found->second.doubtedSince = now;
         }
@@ -144,7 +155,7 @@
 
 std::optional<Withdrawal> TargetBoard::withdrawalOf(const Target &target)
 {
-    if (target.listing.leaving) {
+    if (leaving(target)) {
         return Withdrawal::Leaving;
     }
     if (target.evacuated) {
@@ -279,7 +290,7 @@
     const double queueing = m_options.msPerQueued * queued;
     const double distance = target.listing.failureDomain == m_options.failureDomain ? 0 : m_options.msOtherDomain;
     const double cold = now < target.coldUntil ? m_options.msCold : 0;
-    const double limited = target.limit ? m_options.msLimited : 0;
+    const double limited = target.word.limit ? m_options.msLimited : 0;
     const bool silent = target.relaySilentAt && now - *target.relaySilentAt < m_options.loadMemory;
     return reading + running + queueing + distance + cold + limited + overdue + (silent ? m_options.msSilentRelay : 0);
 }
@@ -301,8 +312,8 @@
         const std::string &incarnation = target->listing.incarnation;
         const bool tried = std::ranges::find(wish.except, incarnation) != wish.except.end();
         const bool meant = wish.among.empty() || std::ranges::find(wish.among, incarnation) != wish.among.end();
-        const bool unadmitted = wish.withoutAdmission && (target->limit || mayBeCold(*target, now));
-        const bool closed = now < target->closedUntil;
+        const bool unadmitted = wish.withoutAdmission && (target->word.limit || mayBeCold(*target, now));
+        const bool closed = now < target->word.closedUntil;
         if (!takesWork(*target) || closed || tried || !meant || unadmitted || resting(*target, now) != rested) {
             continue;
         }
@@ -345,7 +356,7 @@
                      .address = listing.address,
                      .uncached = best.front().uncached,
                      .cold = mayBeCold(target, now),
-                     .limit = target.limit};
+                     .limit = target.word.limit};
 }
 
 std::optional<TargetBoard::OwnLoad> TargetBoard::ownLoad(const std::string &incarnation) const
@@ -467,32 +478,32 @@
 {
     const auto found = m_targets.find(incarnation);
     if (found != m_targets.end()) {
-        found->second.limit = requestsPerSecond;
-        found->second.limitHeardAt = now;
+        found->second.word.limit = requestsPerSecond;
+        found->second.word.limitHeardAt = now;
     }
 }
 
 bool TargetBoard::unlimited(const std::string &incarnation, Instant sentAt)
 {
     const auto found = m_targets.find(incarnation);
-    if (found == m_targets.end() || !found->second.limit || sentAt < found->second.limitHeardAt) {
+    if (found == m_targets.end() || !found->second.word.limit || sentAt < found->second.word.limitHeardAt) {
         return false;
     }
-    found->second.limit.reset();
+    found->second.word.limit.reset();
     return true;
 }
 
 std::optional<double> TargetBoard::limit(const std::string &incarnation) const
 {
     const auto found = m_targets.find(incarnation);
-    return found == m_targets.end() ? std::nullopt : found->second.limit;
+    return found == m_targets.end() ? std::nullopt : found->second.word.limit;
 }
 
 void TargetBoard::closeUntil(const std::string &incarnation, Instant until)
 {
     const auto found = m_targets.find(incarnation);
     if (found != m_targets.end()) {
-        found->second.closedUntil = std::max(found->second.closedUntil, until);
+        found->second.word.closedUntil = std::max(found->second.word.closedUntil, until);
     }
 }
 
@@ -501,17 +512,17 @@
     std::optional<Instant> first;
     for (const PoolEntry &entry : pool(service).entries) {
         if (takesWork(*entry.target)) {
-            first = std::min(first.value_or(Instant::max()), entry.target->closedUntil);
+            first = std::min(first.value_or(Instant::max()), entry.target->word.closedUntil);
         }
     }
     return first && *first > now ? first : std::nullopt;
 }
 
-void TargetBoard::replaced(const std::string &incarnation)
+void TargetBoard::leaves(const std::string &incarnation)
 {
     const auto found = m_targets.find(incarnation);
     if (found != m_targets.end()) {
-        found->second.listing.leaving = true;
+        found->second.word.leaving = true;
     }
 }
 
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -231,8 +231,8 @@
     /// When the first of the service's targets takes something new; none where one does already, or none of them ever will.
     std::optional<Instant> opensAt(std::string_view service, Instant now) const;
 
-    /// Another process answers at the target's address.
-    void replaced(const std::string &incarnation);
+    /// The target has said that it leaves, or another process answers at its address. Final for this life of it, whatever the list shows.
+    void leaves(const std::string &incarnation);
 
     /// True while no target is known at all.
     bool empty() const
@@ -254,7 +254,7 @@
     bool expectedToEnd(const std::string &incarnation) const
     {
         const auto found = m_targets.find(incarnation);
-        return found == m_targets.end() || found->second.listing.leaving || found->second.evacuated;
+        return found == m_targets.end() || leaving(found->second) || found->second.evacuated;
     }
 
     /// True when the target of that name has started again since this life of it.
@@ -265,6 +265,16 @@
     }
 
 private:
+    /// What a target, or who admits requests to it, has said in answers. It holds whatever the list shows, and outlasts a gap in the list.
+    struct Word {
+        bool leaving = false;
+        /// Requests a second that it takes from all routers together, and when that was heard last.
+        std::optional<double> limit;
+        Instant limitHeardAt{};
+        /// Nothing goes there until then.
+        Instant closedUntil{};
+    };
+
     struct Target {
         TargetListing listing;
         /// False while its record cannot be used.
@@ -291,11 +301,7 @@
         TargetLoad others;
         std::optional<Instant> heardAt;
         std::optional<Instant> relaySilentAt;
-        /// Requests a second that it takes from all routers together, and when that was heard last.
-        std::optional<double> limit;
-        Instant limitHeardAt{};
-        /// Nothing goes there until then.
-        Instant closedUntil{};
+        Word word;
     };
 
     /// A target in the order in which a service's targets are looked at.
@@ -317,6 +323,11 @@
         double score = 0;
     };
 
+    static bool leaving(const Target &target)
+    {
+        return target.listing.leaving || target.word.leaving;
+    }
+
     static std::optional<Withdrawal> withdrawalOf(const Target &target);
     static bool takesWork(const Target &target);
     static bool mayBeCold(const Target &target, Instant now);
@@ -336,6 +347,8 @@
     Options m_options;
     /// By incarnation.
     std::map<std::string, Target> m_targets;
+    /// What targets said that the list does not show any more, by incarnation.
+    absl::flat_hash_map<std::string, Word> m_lastWords;
     /// The newest life under each name.
     absl::flat_hash_map<std::string, std::string> m_incarnations;
     /// By service; made anew when the list has changed.
--- a/src/tests/targetboardtest.cpp
+++ b/src/tests/targetboardtest.cpp
@@ -62,6 +62,23 @@
     BOOST_TEST(used.size() == 4U);
 }
 
+// Guards against a target that has said that it leaves and is used again after a gap in the list.
+BOOST_AUTO_TEST_CASE(whatATargetSaidOutlastsAGapInTheList)
+{
+    Board scene(1);
+    const TargetListing listing{.incarnation = scene.choose()->incarnation, .service = "llm", .address = "10.0.0.1:80"};
+    scene.board.leaves(listing.incarnation);
+    BOOST_TEST(!scene.choose());
+    scene.board.unlisted(listing.incarnation, scene.now);
+    BOOST_TEST(!scene.board.lists(listing.incarnation));
+    scene.board.listed(listing, scene.now);
+    BOOST_TEST(!scene.choose());
+    TargetListing nextLife = listing;
+    nextLife.incarnation = "next life";
+    scene.board.listed(nextLife, scene.now);
+    BOOST_TEST(scene.choose().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(prefersWhereThePromptIsCached)
 {
     Board scene(4);
--- a/src/tests/targetfollowertest.cpp
+++ b/src/tests/targetfollowertest.cpp
@@ -86,7 +86,7 @@
     BOOST_TEST(!scene.board.lists("a@1000"));
     // The former life's attempt ends late; it says nothing of the new one.
     scene.board.done("a@1000", TargetSign::Broken, s_now);
-    scene.board.replaced("a@1000");
+    scene.board.leaves("a@1000");
     BOOST_TEST(scene.chosen() == "a@2000");
 }
 
