--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -148,6 +148,7 @@
         logLine(Severity::Info,
                 "target.asks_rest",
                 {{"target", incarnation}, {"rest_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*answer.rest).count()}});
+        m_board.closeUntil(incarnation, steadyNow() + *answer.rest);
     }
     if (answer.limit) {
         const double limit = std::max(*answer.limit, LimitAdmissions::s_leastPerSecond);
