Routers hear of the end of a limit with the denial that they get; a fleet of routers is tested against one limit

A router that asked for an admission after the limit had ended was denied, told so in the same answer, and refused its caller. It sends the request now. AdmissionFleetTest: three running routers before a plain service without a relay, whose sum keeps to 2 a second, and which all hear of the limit's end.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -256,7 +256,9 @@
         const AdmissionRates shared{.cold = rates.cold, .limit = rates.limit / 2};
         co_return m_shares.admit(placement.incarnation, shared.lowest(), steadyNow());
     }
-    const bool granted = answer.admission == Admission::Granted;
+    // Who admits may have said instead that the limit has ended.
+    const bool free = rates.cold <= 0 && !m_board.limit(placement.incarnation);
+    const bool granted = free || answer.admission == Admission::Granted;
     if (!granted) {
         m_board.closeUntil(placement.incarnation, steadyNow() + std::min(answer.wait, s_longestAdmissionWait));
     }
--- /dev/null
+++ b/src/tests/admissionfleettest.cpp
@@ -0,0 +1,179 @@
+#include "clock/steadytime.h"
+#include "net/pause.h"
+#include "routing/loadserver.h"
+#include "tests/gatewayscene.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace bamboohold;
+
+namespace {
+
+constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint16_t s_firstCallerPort = 17690;
+constexpr std::uint16_t s_firstLoadPort = 17700;
+constexpr std::size_t s_routers = 3;
+constexpr double s_perSecond = 2;
+
+std::string loadAddress(std::size_t router)
+{
+    return absl::StrCat("127.0.0.1:", s_firstLoadPort + router);
+}
+
+/// A router that answers the others' questions about targets without relays.
+struct RouterUnderTest {
+    RouterUnderTest(WorkerPool &pool, std::size_t number)
+        : ledger(pool.mainLoop().get_executor(), {.holder = loadAddress(number), .incarnation = loadAddress(number) + "~1"})
+        , gateway(pool.mainLoop().get_executor(), options(number), ledger, metrics)
+        , loadServer(pool.mainLoop().get_executor(),
+                     {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(s_firstLoadPort + number)})
+        , loads(pool.mainLoop().get_executor(), {.incarnation = loadAddress(number) + "~1", .address = "127.0.0.1"})
+        , server(pool,
+                 {.address = "127.0.0.1", .port = static_cast<std::uint16_t>(s_firstCallerPort + number), .exclusive = true},
+                 [this](HttpExchange &exchange) {
+                     return gateway.handle(exchange);
+                 })
+    {
+        BOOST_REQUIRE(loadServer.open().ok());
+        BOOST_REQUIRE(loads.open().ok());
+        BOOST_REQUIRE(server.open().ok());
+        gateway.setLoads(loads);
+        gateway.setRouters(std::vector{loadAddress(0), loadAddress(1), loadAddress(2)});
+        gateway.setPlan(testPlan());
+    }
+
+    static Gateway::Options options(std::size_t number)
+    {
+        Gateway::Options options;
+        options.codec = testCodec();
+        options.self = loadAddress(number);
+        options.routers = [] {
+            return s_routers;
+        };
+        return options;
+    }
+
+    Metrics metrics;
+    TeamLedger ledger;
+    Gateway gateway;
+    LoadServer loadServer;
+    LoadLink loads;
+    HttpServer server;
+};
+
+PeerAction limited()
+{
+    return {.bytes = wholeAnswer(200, absl::StrCat("X-Id: r1\r\nX-Seal: s\r\nX-Limit: ", s_perSecond, "\r\n"), "answer")};
+}
+
+/// Routers before one plain service that limits what it takes.
+class Fleet
+{
+public:
+    Fleet()
+        : m_pool(1)
+        , m_target(m_pool, {limited()})
+    {
+        for (std::size_t number = 0; number < s_routers; ++number) {
+            m_routers.push_back(std::make_unique<RouterUnderTest>(m_pool, number));
+            m_routers.back()->gateway.board().setAll({{.incarnation = "target", .service = "service", .address = m_target.address()}},
+                                                     Instant{});
+        }
+    }
+
+    template<typename Steps>
+    void play(Steps steps)
+    {
+        asio::co_spawn(m_pool.mainLoop(), steps(), [this](const std::exception_ptr &) {
+            m_pool.stop();
+        });
+        m_pool.run();
+    }
+
+    /// Sends a request to a router; returns whether it was served.
+    asio::awaitable<bool> serves(std::size_t router)
+    {
+        asio::ip::tcp::socket socket(m_pool.mainLoop());
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(s_firstCallerPort + router));
+        co_await socket.async_connect(endpoint, s_tuple);
+        const std::string bytes = request("/once/");
+        co_await asio::async_write(socket, asio::buffer(bytes), s_tuple);
+        std::string answer;
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer), s_tuple);
+        co_return answer.starts_with("HTTP/1.1 200 ");
+    }
+
+    ScriptedPeer &target()
+    {
+        return m_target;
+    }
+
+private:
+    WorkerPool m_pool;
+    ScriptedPeer m_target;
+    std::vector<std::unique_ptr<RouterUnderTest>> m_routers;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(AdmissionFleetTest)
+
+// Guards against routers that each keep to a limit alone, so that their sum is a multiple of it, where no relay runs beside the target.
+BOOST_AUTO_TEST_CASE(routersTogetherKeepToALimit)
+{
+    constexpr int rounds = 150;
+    Fleet fleet;
+    const Instant begun = steadyNow();
+    int served = 0;
+    fleet.play([&]() -> asio::awaitable<void> {
+        for (int round = 0; round < rounds; ++round) {
+            for (std::size_t router = 0; router < s_routers; ++router) {
+                served += co_await fleet.serves(router) ? 1 : 0;
+            }
+            co_await pause(std::chrono::milliseconds(20));
+        }
+    });
+    const double span = std::max(4.0, seconds(steadyNow() - begun));
+    BOOST_TEST(served <= 1.5 * s_perSecond * span + 5);
+    // More than the first request of each router, which tells it of the limit.
+    BOOST_TEST(served > static_cast<int>(s_routers));
+    BOOST_TEST(fleet.target().requests().size() == static_cast<std::size_t>(served));
+}
+
+// Guards against a limit that stays at routers which did not hear of its end.
+BOOST_AUTO_TEST_CASE(allRoutersHearOfTheEndOfALimit)
+{
+    constexpr int mostRounds = 3000;
+    Fleet fleet;
+    std::size_t free = 0;
+    fleet.play([&]() -> asio::awaitable<void> {
+        for (std::size_t router = 0; router < s_routers; ++router) {
+            co_await fleet.serves(router);
+        }
+        fleet.target().answerWith({sound()});
+        // Only a fleet that never hears of it plays all rounds.
+        for (int round = 0; round < mostRounds && free < s_routers; ++round) {
+            free = 0;
+            for (std::size_t router = 0; router < s_routers; ++router) {
+                const bool first = co_await fleet.serves(router);
+                const bool second = co_await fleet.serves(router);
+                free += first && second ? 1 : 0;
+            }
+            co_await pause(std::chrono::milliseconds(10));
+        }
+    });
+    BOOST_TEST(free == s_routers);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
