--- a/src/gateway/targetboard.cpp
+++ b/src/gateway/targetboard.cpp
@@ -11,13 +11,8 @@
 
 namespace {
 
-/// Beyond this, doubling pauses makes no difference any more.
-constexpr std::uint32_t s_maxDoublings = 8;
-/// Parts remembered for each target; more than an engine's memory holds.
-constexpr std::size_t s_maxCachedParts = 4096;
 /// Targets whose last words are remembered.
 constexpr std::size_t s_maxLastWords = 1024;
-constexpr double s_msPerSecond = 1000;
 /// Targets that are looked at for one request, besides its favourites: all of them on small fleets. Half of them are of the router's own
 /// failure domain. Keeps the choice at a few microseconds whatever the number of targets.
 constexpr std::size_t s_sampleSize = 32;
@@ -52,13 +47,13 @@
     }
 }
 
-std::map<std::string, TargetBoard::Target>::iterator TargetBoard::named(const std::string &name)
+std::map<std::string, TargetState>::iterator TargetBoard::named(const std::string &name)
 {
     const auto incarnation = m_incarnations.find(name);
     return incarnation == m_incarnations.end() ? m_targets.end() : m_targets.find(incarnation->second);
 }
 
-void TargetBoard::forget(std::map<std::string, Target>::iterator target)
+void TargetBoard::forget(std::map<std::string, TargetState>::iterator target)
 {
     const TargetListing &listing = target->second.listing;
     if (m_lastWords.size() >= s_maxLastWords) {
@@ -90,7 +85,7 @@
     m_incarnations[listing.name()] = listing.incarnation;
     m_poolsValid = false;
     const auto [entry, added] = m_targets.try_emplace(listing.incarnation);
-    Target &target = entry->second;
+    TargetState &target = entry->second;
     if (const auto said = m_lastWords.find(listing.incarnation); added && said != m_lastWords.end()) {
         target.word = said->second;
     }
@@ -122,7 +117,7 @@
     if (found == m_targets.end()) {
         return;
     }
-    if (storeTroubled(now) && !leaving(found->second)) {
+    if (storeTroubled(now) && !found->second.leaving()) {
         if (!found->second.doubtedSince) {
             found->second.doubtedSince = now;
         }
@@ -153,31 +148,10 @@
     }
 }
 
-std::optional<Withdrawal> TargetBoard::withdrawalOf(const Target &target)
-{
-    if (leaving(target)) {
-        return Withdrawal::Leaving;
-    }
-    if (target.evacuated) {
-        return Withdrawal::Evacuated;
-    }
-    return target.usable ? std::nullopt : std::optional(Withdrawal::Unusable);
-}
-
 std::optional<Withdrawal> TargetBoard::withdrawal(const std::string &incarnation) const
 {
     const auto found = m_targets.find(incarnation);
-    return found == m_targets.end() ? std::nullopt : withdrawalOf(found->second);
-}
-
-bool TargetBoard::takesWork(const Target &target)
-{
-    return !withdrawalOf(target);
-}
-
-bool TargetBoard::mayBeCold(const Target &target, Instant now)
-{
-    return now < target.coldUntil || now < target.suspectedColdUntil;
+    return found == m_targets.end() ? std::nullopt : found->second.withdrawal();
 }
 
 const TargetBoard::Pool &TargetBoard::pool(std::string_view service) const
@@ -200,18 +174,18 @@
     return found == m_pools.end() ? s_none : found->second;
 }
 
-std::vector<const TargetBoard::Target *> TargetBoard::favourites(const Pool &pool, std::span<const PromptPart> prompt) const
+std::vector<const TargetState *> TargetBoard::favourites(const Pool &pool, std::span<const PromptPart> prompt) const
 {
     if (prompt.size() < 2 || !m_options.favourites) {
         return {};
     }
     const std::uint64_t shared = prompt[prompt.size() - 2].id;
-    std::array<const Target *, s_favourites> best{};
+    std::array<const TargetState *, s_favourites> best{};
     std::array<std::uint64_t, s_favourites> weights{};
     for (const PoolEntry &entry : pool.entries) {
         const std::uint64_t weight = mixed(shared ^ entry.hash);
         // Few weights are among the best, so that hardly any target is looked at.
-        if (weight < weights.back() || !takesWork(*entry.target)) {
+        if (weight < weights.back() || !entry.target->takesWork()) {
             continue;
         }
         std::size_t place = s_favourites - 1;
@@ -225,14 +199,14 @@
     return {best.begin(), std::ranges::find(best, nullptr)};
 }
 
-std::vector<const TargetBoard::Target *>
-TargetBoard::sampled(const Pool &pool, const PlacementWish &wish, std::span<const Target *const> favourites) const
+std::vector<const TargetState *>
+TargetBoard::sampled(const Pool &pool, const PlacementWish &wish, std::span<const TargetState *const> favourites) const
 {
-    std::vector<const Target *> targets(favourites.begin(), favourites.end());
+    std::vector<const TargetState *> targets(favourites.begin(), favourites.end());
     const std::size_t size = pool.entries.size();
     const auto take = [&](std::size_t count, std::size_t among, std::uint64_t draw) {
         for (std::size_t step = 0; step < std::min(count, among); ++step) {
-            const Target *target = pool.entries[(draw + step) % among].target;
+            const TargetState *target = pool.entries[(draw + step) % among].target;
             if (std::ranges::find(favourites, target) == favourites.end()) {
                 targets.push_back(target);
             }
@@ -249,77 +223,23 @@
     return targets;
 }
 
-Tokens TargetBoard::uncachedAt(const Target &target, std::span<const PromptPart> prompt, bool favoured, Instant now) const
-{
-    Tokens uncached = 0;
-    bool prefixHeld = true;
-    for (std::size_t index = 0; index < prompt.size(); ++index) {
-        const bool own = index + 1 == prompt.size();
-        const auto found = target.cached.find(prompt[index].id);
-        const bool known = found != target.cached.end() && now - found->second < m_options.cacheMemory;
-        // Other routers send requests for this part to its favourite as well, so it probably has it although this router never sent one.
-        const bool likely = !own && favoured;
-        prefixHeld = prefixHeld && (known || likely);
-        if (!prefixHeld) {
-            uncached += prompt[index].tokens;
-        }
-    }
-    return uncached;
-}
-
-TargetLoad TargetBoard::loadAt(const Target &target, Instant now) const
-{
-    TargetLoad load{.outstanding = target.outstanding, .unread = target.unread};
-    if (target.heardAt && now - *target.heardAt < m_options.loadMemory) {
-        load.outstanding += target.others.outstanding;
-        load.unread += target.others.unread;
-    }
-    return load;
-}
-
-double TargetBoard::score(const Target &target, Tokens uncached, Instant now) const
-{
-    const Duration waited = target.waiting.empty() ? Duration::zero() : now - *target.waiting.begin() - m_options.patience;
-    const double overdue = std::max(0.0, seconds(waited) * s_msPerSecond);
-    const TargetLoad load = loadAt(target, now);
-    const double tokens = m_options.rereadWeight * static_cast<double>(uncached) + static_cast<double>(load.unread);
-    const double reading = tokens / m_options.prefillTokensPerMs;
-    const double running = m_options.msPerOutstanding * target.outstanding + m_options.msPerKnown * (load.outstanding - target.outstanding);
-    const std::uint32_t queued =
-        target.listing.slots > 0 && load.outstanding >= target.listing.slots ? load.outstanding - target.listing.slots + 1 : 0;
-    const double queueing = m_options.msPerQueued * queued;
-    const double distance = target.listing.failureDomain == m_options.failureDomain ? 0 : m_options.msOtherDomain;
-    const double cold = now < target.coldUntil ? m_options.msCold : 0;
-    const double limited = target.word.limit ? m_options.msLimited : 0;
-    const bool silent = target.relaySilentAt && now - *target.relaySilentAt < m_options.loadMemory;
-    return reading + running + queueing + distance + cold + limited + overdue + (silent ? m_options.msSilentRelay : 0);
-}
-
-bool TargetBoard::resting(const Target &target, Instant now)
-{
-    const bool paused = target.pausedUntil && now < *target.pausedUntil;
-    // One attempt at a time finds out whether a target that failed is back.
-    const bool onTrial = target.failures > 0 && target.outstanding > 0;
-    return paused || onTrial;
-}
-
 std::vector<TargetBoard::Scored> TargetBoard::ranked(const PlacementWish &wish, bool rested, Instant now) const
 {
     const Pool &known = pool(wish.service);
-    const std::vector<const Target *> favoured = favourites(known, wish.prompt);
+    const std::vector<const TargetState *> favoured = favourites(known, wish.prompt);
     std::vector<Scored> scored;
-    for (const Target *target : sampled(known, wish, favoured)) {
+    for (const TargetState *target : sampled(known, wish, favoured)) {
         const std::string &incarnation = target->listing.incarnation;
         const bool tried = std::ranges::find(wish.except, incarnation) != wish.except.end();
         const bool meant = wish.among.empty() || std::ranges::find(wish.among, incarnation) != wish.among.end();
-        const bool unadmitted = wish.withoutAdmission && (target->word.limit || mayBeCold(*target, now));
+        const bool unadmitted = wish.withoutAdmission && (target->word.limit || target->mayBeCold(now));
         const bool closed = now < target->word.closedUntil;
-        if (!takesWork(*target) || closed || tried || !meant || unadmitted || resting(*target, now) != rested) {
+        if (!target->takesWork() || closed || tried || !meant || unadmitted || target->resting(now) != rested) {
             continue;
         }
         const bool first = !favoured.empty() && target == favoured.front();
-        const Tokens uncached = uncachedAt(*target, wish.prompt, first, now);
-        const double value = rested ? target->failures : score(*target, uncached, now);
+        const Tokens uncached = target->uncached(m_options, wish.prompt, first, now);
+        const double value = rested ? target->failures : target->score(m_options, uncached, now);
         scored.push_back({.target = target, .uncached = uncached, .score = value});
     }
     // Stable, so that among equals the drawn order stands.
@@ -349,13 +269,13 @@
     if (best.empty()) {
         return std::nullopt;
     }
-    const Target &target = *best.front().target;
+    const TargetState &target = *best.front().target;
     const TargetListing &listing = target.listing;
     return Placement{.incarnation = listing.incarnation,
                      .name = listing.name(),
                      .address = listing.address,
                      .uncached = best.front().uncached,
-                     .cold = mayBeCold(target, now),
+                     .cold = target.mayBeCold(now),
                      .limit = target.word.limit};
 }
 
@@ -365,7 +285,7 @@
     if (found == m_targets.end() || found->second.listing.relay.empty()) {
         return std::nullopt;
     }
-    const Target &target = found->second;
+    const TargetState &target = found->second;
     return OwnLoad{.relay = target.listing.relay, .load = {.outstanding = target.outstanding, .unread = target.unread}};
 }
 
@@ -401,77 +321,25 @@
 void TargetBoard::sent(const std::string &incarnation, std::span<const PromptPart> prompt, Tokens uncached, Instant now)
 {
     const auto found = m_targets.find(incarnation);
-    if (found == m_targets.end()) {
-        return;
-    }
-    Target &target = found->second;
-    ++target.outstanding;
-    target.unread += uncached;
-    target.waiting.insert(now);
-    if (target.cached.size() > s_maxCachedParts) {
-        absl::erase_if(target.cached, [&](const auto &entry) {
-            return now - entry.second >= m_options.cacheMemory;
-        });
-    }
-    for (const PromptPart &part : prompt) {
-        target.cached[part.id] = now;
+    if (found != m_targets.end()) {
+        found->second.sent(m_options, prompt, uncached, now);
     }
 }
 
 void TargetBoard::begun(const std::string &incarnation, Tokens uncached, Instant sentAt)
 {
     const auto found = m_targets.find(incarnation);
-    if (found == m_targets.end()) {
-        return;
-    }
-    Target &target = found->second;
-    target.unread -= uncached;
-    const auto waiting = target.waiting.find(sentAt);
-    if (waiting != target.waiting.end()) {
-        target.waiting.erase(waiting);
+    if (found != m_targets.end()) {
+        found->second.begun(uncached, sentAt);
     }
 }
 
 void TargetBoard::done(const std::string &incarnation, TargetSign sign, Instant now)
 {
     const auto found = m_targets.find(incarnation);
-    if (found == m_targets.end()) {
-        return;
-    }
-    Target &target = found->second;
-    target.outstanding -= std::min<std::uint32_t>(target.outstanding, 1);
-    switch (sign) {
-    case TargetSign::Sound:
-        target.failures = 0;
-        target.failingInRow = 0;
-        target.pausedUntil.reset();
-        break;
-    case TargetSign::Declined:
-        target.pausedUntil = now + m_options.declinePause;
-        break;
-    case TargetSign::Broken:
-        pauseBroken(target, now);
-        break;
-    case TargetSign::Failing:
-        if (++target.failingInRow >= m_options.failingLimit) {
-            pauseBroken(target, now);
-        }
-        break;
-    case TargetSign::Neutral:
-        break;
-    }
-}
-
-void TargetBoard::pauseBroken(Target &target, Instant now) const
-{
-    if (!m_options.ejects) {
-        return;
+    if (found != m_targets.end()) {
+        found->second.done(m_options, sign, now);
     }
-    const Duration pause = m_options.firstPause * (std::int64_t{1} << std::min(target.failures, s_maxDoublings));
-    target.pausedUntil = now + std::min(m_options.longestPause, pause);
-    target.suspectedColdUntil = *target.pausedUntil + m_options.coldSuspicion;
-    ++target.failures;
-    target.cached.clear();
 }
 
 void TargetBoard::limited(const std::string &incarnation, double requestsPerSecond, Instant now)
@@ -511,7 +379,7 @@
 {
     std::optional<Instant> first;
     for (const PoolEntry &entry : pool(service).entries) {
-        if (takesWork(*entry.target)) {
+        if (entry.target->takesWork()) {
             first = std::min(first.value_or(Instant::max()), entry.target->word.closedUntil);
         }
     }
--- a/src/gateway/targetboard.h
+++ b/src/gateway/targetboard.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "clock/instant.h"
-#include "routing/loadbook.h"
+#include "gateway/targetstate.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -16,34 +16,6 @@
 
 namespace bamboohold {
 
-/// A part of a prompt that several requests may share. The engine skips a part that it has cached, if it has all parts before it too.
-struct PromptPart {
-    std::uint64_t id = 0;
-    Tokens tokens = 0;
-};
-
-/// A target as the platform's list shows it.
-struct TargetListing {
-    /// One life of a process; its address may later belong to another.
-    std::string incarnation;
-    std::string service;
-    std::string address;
-    std::string failureDomain;
-    bool leaving = false;
-    Duration warmup{};
-    /// Where a relay to the store listens beside it, if one does; empty when none can.
-    std::string relay;
-    /// Requests that it works on at one time; 0 when that is not known.
-    std::uint32_t slots = 0;
-    /// The name that a process keeps when it starts again; empty when each life has a name of its own.
-    std::string identity;
-    /// What the process is called in the list, and by whoever sends to it.
-    const std::string &name() const
-    {
-        return identity.empty() ? incarnation : identity;
-    }
-};
-
 /// What a request needs of a target.
 struct PlacementWish {
     std::string_view service;
@@ -60,16 +32,6 @@
     std::uint64_t draw = 0;
 };
 
-/// Why a target takes no new work, although the list shows it.
-enum class Withdrawal {
-    /// Its record cannot be used.
-    Unusable,
-    /// It has said that it leaves; this life of it does not come back.
-    Leaving,
-    /// Its failure domain is evacuated, until the order is taken back.
-    Evacuated,
-};
-
 /// Where a request goes.
 struct Placement {
     std::string incarnation;
@@ -86,20 +48,6 @@
     std::optional<Instant> sendBefore;
 };
 
-/// How an attempt at a target ended, as far as it tells something about the target.
-enum class TargetSign {
-    /// Answered in good order.
-    Sound,
-    /// Declined without running the request.
-    Declined,
-    /// Answered with a failure of its own.
-    Failing,
-    /// Could not be connected to, went silent, or broke off.
-    Broken,
-    /// Says nothing about the target: the caller left, or time ran out elsewhere.
-    Neutral,
-};
-
 /// All targets that a router may send to, and its choice among them.
 ///
 /// Pure. Targets come from the platform's list, which lags: a target that fails is left out sooner, one that the list lost while the store
@@ -109,54 +57,7 @@
 class TargetBoard
 {
 public:
-    struct Options {
-        std::string failureDomain;
-        /// A target that could not be reached is tried again after this, then after twice as long, and so on.
-        Duration firstPause = std::chrono::milliseconds(400);
-        /// The longest of these pauses: a target that comes back should not wait longer for work.
-        Duration longestPause = std::chrono::seconds(3);
-        /// After this many failing answers in a row a target is paused like a broken one; single ones are the requests' own.
-        std::uint32_t failingLimit = 3;
-        /// After it declined, a target is left alone for this long.
-        Duration declinePause = std::chrono::milliseconds(150);
-        /// An entry that vanished while the store was in trouble is believed gone only this long after its return: targets that live write
-        /// theirs again within about two seconds.
-        Duration listGrace = std::chrono::milliseconds(2300);
-        /// A cached part is reckoned with for this long after its last use; the engines' memory turns over more slowly than that.
-        Duration cacheMemory = std::chrono::seconds(20);
-        /// Prompt tokens that an engine reads in a millisecond.
-        double prefillTokensPerMs = 38.4;
-        /// A token that has to be read counts this many times its own time: it also holds up whoever comes to that target next, and pushes
-        /// something else out of its memory. Routers that know each other's loads leave busy favourites too easily otherwise.
-        double rereadWeight = 5;
-        /// Milliseconds that one more running request adds to another's first token.
-        double msPerOutstanding = 4;
-        /// The same for one that another router has there: of these all are known, and each makes an engine's step only a little longer,
-        /// where one of few routers' own stands for those that it does not see.
-        double msPerKnown = 1;
-        /// And one that has to wait for a slot: a stream of some hundred tokens keeps one of 32 slots for a second.
-        double msPerQueued = 40;
-        /// What others have at a target is believed for this long; a request is there for about as long.
-        Duration loadMemory = std::chrono::milliseconds(700);
-        /// A target whose relay used to answer and now does not is most likely without power, or cut off from here: counted against it for
-        /// `loadMemory`.
-        double msSilentRelay = 200;
-        /// A request that waits longer than this for its first byte speaks against its target, by as much as it waits longer. A target that
-        /// has gone silent says nothing else.
-        Duration patience = std::chrono::milliseconds(400);
-        /// Whether requests with the same part of a prompt prefer one target, and whether targets that fail rest.
-        bool favourites = true;
-        bool ejects = true;
-        /// Milliseconds counted against a target in another failure domain: the way there and back, and traffic that is paid for.
-        double msOtherDomain = 4;
-        /// Milliseconds counted against a target that says that it is cold.
-        double msCold = 60;
-        /// Milliseconds counted against a target that limits what it takes: an admission costs a round trip, and it is in need.
-        double msLimited = 60;
-        /// A target that broke off, or whose failure domain is taken back, may have become cold before its record says so: its next
-        /// record comes within about a second, and takes some time to arrive.
-        Duration coldSuspicion = std::chrono::milliseconds(2500);
-    };
+    using Options = TargetOptions;
 
     explicit TargetBoard(Options options);
 
@@ -254,7 +155,7 @@
     bool expectedToEnd(const std::string &incarnation) const
     {
         const auto found = m_targets.find(incarnation);
-        return found == m_targets.end() || leaving(found->second) || found->second.evacuated;
+        return found == m_targets.end() || found->second.leaving() || found->second.evacuated;
     }
 
     /// True when the target of that name has started again since this life of it.
@@ -265,50 +166,11 @@
     }
 
 private:
-    /// What a target, or who admits requests to it, has said in answers. It holds whatever the list shows, and outlasts a gap in the list.
-    struct Word {
-        bool leaving = false;
-        /// Requests a second that it takes from all routers together, and when that was heard last.
-        std::optional<double> limit;
-        Instant limitHeardAt{};
-        /// Nothing goes there until then.
-        Instant closedUntil{};
-    };
-
-    struct Target {
-        TargetListing listing;
-        /// False while its record cannot be used.
-        bool usable = true;
-        /// True while its failure domain is evacuated.
-        bool evacuated = false;
-        /// By its last record it is cold until then.
-        Instant coldUntil{};
-        /// It may have become cold, and its record would say so by then.
-        Instant suspectedColdUntil{};
-        std::uint32_t outstanding = 0;
-        /// Prompt tokens sent and not yet read.
-        Tokens unread = 0;
-        /// When the requests were sent that have no first byte yet.
-        std::multiset<Instant> waiting;
-        std::uint32_t failures = 0;
-        /// Failing answers without a sound one between.
-        std::uint32_t failingInRow = 0;
-        std::optional<Instant> pausedUntil;
-        /// Set while the list does not show it, but may have lost it by mistake.
-        std::optional<Instant> doubtedSince;
-        absl::flat_hash_map<std::uint64_t, Instant> cached;
-        /// What other routers have there, and since when that is known.
-        TargetLoad others;
-        std::optional<Instant> heardAt;
-        std::optional<Instant> relaySilentAt;
-        Word word;
-    };
-
     /// A target in the order in which a service's targets are looked at.
     struct PoolEntry {
         /// Of its incarnation's name, so that no name is hashed for a request.
         std::uint64_t hash = 0;
-        const Target *target = nullptr;
+        const TargetState *target = nullptr;
     };
 
     /// The targets of a service, those of the own failure domain first.
@@ -318,37 +180,25 @@
     };
 
     struct Scored {
-        const Target *target = nullptr;
+        const TargetState *target = nullptr;
         Tokens uncached = 0;
         double score = 0;
     };
 
-    static bool leaving(const Target &target)
-    {
-        return target.listing.leaving || target.word.leaving;
-    }
-
-    static std::optional<Withdrawal> withdrawalOf(const Target &target);
-    static bool takesWork(const Target &target);
-    static bool mayBeCold(const Target &target, Instant now);
-    std::map<std::string, Target>::iterator named(const std::string &name);
-    void forget(std::map<std::string, Target>::iterator target);
-    static bool resting(const Target &target, Instant now);
+    std::map<std::string, TargetState>::iterator named(const std::string &name);
+    void forget(std::map<std::string, TargetState>::iterator target);
     const Pool &pool(std::string_view service) const;
-    std::vector<const Target *> sampled(const Pool &pool, const PlacementWish &wish, std::span<const Target *const> favourites) const;
+    std::vector<const TargetState *>
+    sampled(const Pool &pool, const PlacementWish &wish, std::span<const TargetState *const> favourites) const;
     std::vector<Scored> ranked(const PlacementWish &wish, bool rested, Instant now) const;
-    void pauseBroken(Target &target, Instant now) const;
-    Tokens uncachedAt(const Target &target, std::span<const PromptPart> prompt, bool favoured, Instant now) const;
-    double score(const Target &target, Tokens uncached, Instant now) const;
-    TargetLoad loadAt(const Target &target, Instant now) const;
-    std::vector<const Target *> favourites(const Pool &pool, std::span<const PromptPart> prompt) const;
+    std::vector<const TargetState *> favourites(const Pool &pool, std::span<const PromptPart> prompt) const;
     bool storeTroubled(Instant now) const;
 
     Options m_options;
     /// By incarnation.
-    std::map<std::string, Target> m_targets;
+    std::map<std::string, TargetState> m_targets;
     /// What targets said that the list does not show any more, by incarnation.
-    absl::flat_hash_map<std::string, Word> m_lastWords;
+    absl::flat_hash_map<std::string, TargetWord> m_lastWords;
     /// The newest life under each name.
     absl::flat_hash_map<std::string, std::string> m_incarnations;
     /// By service; made anew when the list has changed.
--- /dev/null
+++ b/src/gateway/targetstate.cpp
@@ -0,0 +1,147 @@
+#include "gateway/targetstate.h"
+
+#include <algorithm>
+
+namespace bamboohold {
+
+namespace {
+
+/// Beyond this, doubling pauses makes no difference any more.
+constexpr std::uint32_t s_maxDoublings = 8;
+/// Parts remembered for each target; more than an engine's memory holds.
+constexpr std::size_t s_maxCachedParts = 4096;
+constexpr double s_msPerSecond = 1000;
+
+}
+
+std::optional<Withdrawal> TargetState::withdrawal() const
+{
+    if (leaving()) {
+        return Withdrawal::Leaving;
+    }
+    if (evacuated) {
+        return Withdrawal::Evacuated;
+    }
+    return usable ? std::nullopt : std::optional(Withdrawal::Unusable);
+}
+
+bool TargetState::mayBeCold(Instant now) const
+{
+    return now < coldUntil || now < suspectedColdUntil;
+}
+
+Tokens TargetState::uncached(const TargetOptions &options, std::span<const PromptPart> prompt, bool favoured, Instant now) const
+{
+    Tokens missing = 0;
+    bool prefixHeld = true;
+    for (std::size_t index = 0; index < prompt.size(); ++index) {
+        const bool own = index + 1 == prompt.size();
+        const auto found = cached.find(prompt[index].id);
+        const bool known = found != cached.end() && now - found->second < options.cacheMemory;
+        // Other routers send requests for this part to its favourite as well, so it probably has it although this router never sent one.
+        const bool likely = !own && favoured;
+        prefixHeld = prefixHeld && (known || likely);
+        if (!prefixHeld) {
+            missing += prompt[index].tokens;
+        }
+    }
+    return missing;
+}
+
+TargetLoad TargetState::load(const TargetOptions &options, Instant now) const
+{
+    TargetLoad all{.outstanding = outstanding, .unread = unread};
+    if (heardAt && now - *heardAt < options.loadMemory) {
+        all.outstanding += others.outstanding;
+        all.unread += others.unread;
+    }
+    return all;
+}
+
+double TargetState::score(const TargetOptions &options, Tokens uncached, Instant now) const
+{
+    const Duration waited = waiting.empty() ? Duration::zero() : now - *waiting.begin() - options.patience;
+    const double overdue = std::max(0.0, seconds(waited) * s_msPerSecond);
+    const TargetLoad all = load(options, now);
+    const double tokens = options.rereadWeight * static_cast<double>(uncached) + static_cast<double>(all.unread);
+    const double reading = tokens / options.prefillTokensPerMs;
+    const double running = options.msPerOutstanding * outstanding + options.msPerKnown * (all.outstanding - outstanding);
+    const std::uint32_t queued = listing.slots > 0 && all.outstanding >= listing.slots ? all.outstanding - listing.slots + 1 : 0;
+    const double queueing = options.msPerQueued * queued;
+    const double distance = listing.failureDomain == options.failureDomain ? 0 : options.msOtherDomain;
+    const double cold = now < coldUntil ? options.msCold : 0;
+    const double limited = word.limit ? options.msLimited : 0;
+    const bool silent = relaySilentAt && now - *relaySilentAt < options.loadMemory;
+    return reading + running + queueing + distance + cold + limited + overdue + (silent ? options.msSilentRelay : 0);
+}
+
+bool TargetState::resting(Instant now) const
+{
+    const bool paused = pausedUntil && now < *pausedUntil;
+    // One attempt at a time finds out whether a target that failed is back.
+    const bool onTrial = failures > 0 && outstanding > 0;
+    return paused || onTrial;
+}
+
+void TargetState::sent(const TargetOptions &options, std::span<const PromptPart> prompt, Tokens uncached, Instant now)
+{
+    ++outstanding;
+    unread += uncached;
+    waiting.insert(now);
+    if (cached.size() > s_maxCachedParts) {
+        absl::erase_if(cached, [&](const auto &entry) {
+            return now - entry.second >= options.cacheMemory;
+        });
+    }
+    for (const PromptPart &part : prompt) {
+        cached[part.id] = now;
+    }
+}
+
+void TargetState::begun(Tokens uncached, Instant sentAt)
+{
+    unread -= uncached;
+    const auto since = waiting.find(sentAt);
+    if (since != waiting.end()) {
+        waiting.erase(since);
+    }
+}
+
+void TargetState::done(const TargetOptions &options, TargetSign sign, Instant now)
+{
+    outstanding -= std::min<std::uint32_t>(outstanding, 1);
+    switch (sign) {
+    case TargetSign::Sound:
+        failures = 0;
+        failingInRow = 0;
+        pausedUntil.reset();
+        break;
+    case TargetSign::Declined:
+        pausedUntil = now + options.declinePause;
+        break;
+    case TargetSign::Broken:
+        pauseBroken(options, now);
+        break;
+    case TargetSign::Failing:
+        if (++failingInRow >= options.failingLimit) {
+            pauseBroken(options, now);
+        }
+        break;
+    case TargetSign::Neutral:
+        break;
+    }
+}
+
+void TargetState::pauseBroken(const TargetOptions &options, Instant now)
+{
+    if (!options.ejects) {
+        return;
+    }
+    const Duration pause = options.firstPause * (std::int64_t{1} << std::min(failures, s_maxDoublings));
+    pausedUntil = now + std::min(options.longestPause, pause);
+    suspectedColdUntil = *pausedUntil + options.coldSuspicion;
+    ++failures;
+    cached.clear();
+}
+
+}
