--- a/scripts/measurebudgets.py
+++ b/scripts/measurebudgets.py
@@ -31,6 +31,12 @@
     return 0
 
 
+def books(routers, seed):
+    """Booked minus delivered by cause."""
+    program = str(fleetlib.BUILD / "bamboohold-measure-books")
+    return subprocess.run([program, f"--routers={routers}", f"--seed={seed}"], check=False).returncode
+
+
 def calm(trial):
     time.sleep(6)
 
--- a/src/measure/holdings.cpp
+++ b/src/measure/holdings.cpp
@@ -1,6 +1,5 @@
 #include "budget/keepers.h"
-#include "budget/teamholding.h"
-#include "store/memoryrows.h"
+#include "measure/bookrouter.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -31,35 +30,13 @@
 constexpr Tokens s_used = 2400;
 constexpr double s_budgetSeconds = 60;
 constexpr Duration s_requestTime = std::chrono::milliseconds(800);
-constexpr Duration s_checkpointInterval = std::chrono::milliseconds(250);
-constexpr Duration s_idleCheckpointInterval = std::chrono::seconds(3);
 
 struct Counts {
-    std::uint64_t reads = 0;
-    std::uint64_t flushes = 0;
-    std::uint64_t checkpoints = 0;
     std::uint64_t loans = 0;
-    std::uint64_t bytes = 0;
     std::uint64_t requests = 0;
     std::uint64_t refused = 0;
 };
 
-/// One router: its checkpoint and the budgets that it keeps. What the others borrow is taken from it at once, without a link between.
-struct Router {
-    Router(std::string holder, Instant now)
-        : name(std::move(holder))
-        , checkpoint({.holder = name, .incarnation = name + "~1", .startedAt = now})
-    {
-    }
-
-    std::string name;
-    HolderCheckpoint checkpoint;
-    /// By budget.
-    std::unordered_map<int, std::unique_ptr<TeamHolding>> holdings;
-    std::optional<Instant> lastCheckpoint;
-    bool urgent = false;
-};
-
 struct Running {
     Instant end{};
     int lender = 0;
@@ -76,17 +53,18 @@
         std::vector<std::string> names;
         for (int router = 0; router < FLAGS_routers; ++router) {
             names.push_back("10.0." + std::to_string(router / 250) + "." + std::to_string(router % 250) + ":7340");
-            m_routers.push_back(std::make_unique<Router>(names.back(), m_now));
+            m_routers.push_back(std::make_unique<BookRouter>(names.back(), names.back() + "~1", m_store));
             m_index[names.back()] = router;
         }
         const double perBudget = FLAGS_requests_per_router * FLAGS_routers / FLAGS_budgets;
         m_prepaid = static_cast<Tokens>(perBudget * s_budgetSeconds * s_used) + 2 * s_bound;
         for (int budget = 0; budget < FLAGS_budgets; ++budget) {
-            const std::vector<std::string> keepers = FLAGS_all_keep ? names : keepersOf(teamName(budget), m_prepaid, s_bound, names);
+            const std::vector<std::string> keepers =
+                FLAGS_all_keep ? names : keepersOf(BookRouter::teamName(budget), m_prepaid, s_bound, names);
             m_keepers.emplace_back();
             for (const std::string &keeper : keepers) {
                 m_keepers.back().push_back(m_index[keeper]);
-                open(m_index[keeper], budget, keepers.size());
+                m_routers[m_index[keeper]]->open(budget, {.prepaid = m_prepaid, .planVersion = 1}, true, keepers.size());
             }
         }
     }
@@ -96,41 +74,25 @@
         const auto length = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(FLAGS_seconds));
         play(length);
         m_counts = {};
+        m_store.use = {};
         play(length);
         print();
     }
 
 private:
-    static std::string teamName(int budget)
-    {
-        return "team-" + std::to_string(budget);
-    }
-
-    void open(int router, int budget, std::size_t keepers)
-    {
-        Router &at = *m_routers[router];
-        auto holding = std::make_unique<TeamHolding>(
-            TeamHolding::Options{.team = teamName(budget), .holder = at.name, .incarnation = at.name + "~1"}, at.checkpoint);
-        holding->setPrepaid({.prepaid = m_prepaid, .planVersion = 1});
-        holding->setKeeps(true, keepers);
-        holding->servingSince(m_now);
-        at.holdings[budget] = std::move(holding);
-    }
-
     void play(Duration length)
     {
-        const Instant end = m_now + length;
+        const Instant end = m_store.now + length;
         double due = 0;
-        while (m_now < end) {
-            m_now += s_tick;
-            m_storeNow += s_tick / std::chrono::milliseconds(1);
+        while (m_store.now < end) {
+            m_store.pass(s_tick);
             due += FLAGS_requests_per_router * FLAGS_routers * seconds(s_tick);
             for (; due >= 1; due -= 1) {
                 request();
             }
             settleDue();
             for (const auto &router : m_routers) {
-                keep(*router);
+                router->keep(m_routers.size());
             }
         }
     }
@@ -149,110 +111,27 @@
             ++m_counts.loans;
         }
         for (const int lender : order) {
-            Router &at = *m_routers[lender];
-            TeamHolding &holding = *at.holdings[budget];
-            holding.noteRequest(s_bound, m_now);
-            if (const std::optional<Reservation> made = reserve(at, holding)) {
-                m_running.push_back({.end = m_now + s_requestTime, .lender = lender, .budget = budget, .reservation = *made});
+            BookRouter &at = *m_routers[lender];
+            at.holding(budget).noteRequest(s_bound, m_store.now);
+            if (const std::optional<Reservation> made = at.reserve(budget, s_bound)) {
+                m_running.push_back({.end = m_store.now + s_requestTime, .lender = lender, .budget = budget, .reservation = *made});
                 return;
             }
         }
         ++m_counts.refused;
     }
 
-    /// Reserves at once, or after a checkpoint written ahead.
-    std::optional<Reservation> reserve(Router &router, TeamHolding &holding)
-    {
-        for (const bool written : {false, true}) {
-            const auto result = holding.reserve(s_bound, m_now);
-            if (const auto *made = std::get_if<Reservation>(&result)) {
-                return *made;
-            }
-            if (written || std::get<HoldingRefusal>(result) != HoldingRefusal::Paced) {
-                break;
-            }
-            holding.addWaiting(s_bound);
-            writeCheckpoint(router);
-            holding.removeWaiting(s_bound);
-        }
-        return std::nullopt;
-    }
-
     void settleDue()
     {
         const auto over = std::partition(m_running.begin(), m_running.end(), [this](const Running &running) {
-            return running.end > m_now;
+            return running.end > m_store.now;
         });
         for (auto running = over; running != m_running.end(); ++running) {
-            m_routers[running->lender]->holdings[running->budget]->settle(running->reservation, s_used, m_now);
+            m_routers[running->lender]->holding(running->budget).settle(running->reservation, s_used, m_store.now);
         }
         m_running.erase(over, m_running.end());
     }
 
-    void keep(Router &router)
-    {
-        for (const auto &[budget, holding] : router.holdings) {
-            if (holding->wantsRead(m_now)) {
-                const RowsRead rows = m_store.read(s_budgetTable, teamName(budget), m_storeNow);
-                ++m_counts.reads;
-                for (const StoredRow &row : rows.rows) {
-                    m_counts.bytes += s_rowOverhead + row.value.size() * 4 / 3;
-                }
-                holding->loaded(rows, m_now);
-            }
-            const std::optional<Instant> due = holding->nextFlush(m_routers.size(), m_now);
-            if (due && *due <= m_now) {
-                flush(*holding);
-            }
-        }
-        const bool holds = std::ranges::any_of(router.holdings, [](const auto &entry) {
-            return entry.second->unused() > 0;
-        });
-        const Duration interval = holds ? s_checkpointInterval : s_idleCheckpointInterval;
-        if (!router.lastCheckpoint || m_now - *router.lastCheckpoint >= interval) {
-            writeCheckpoint(router);
-        }
-    }
-
-    void flush(TeamHolding &holding)
-    {
-        const std::optional<RowTransaction> transaction = holding.planFlush(m_routers.size(), m_now);
-        if (!transaction) {
-            return;
-        }
-        ++m_counts.flushes;
-        addBytes(*transaction);
-        holding.flushAnswered(*m_store.transact(*transaction, m_storeNow), m_now);
-    }
-
-    void writeCheckpoint(Router &router)
-    {
-        if (router.checkpoint.wantsRead()) {
-            router.checkpoint.loaded(m_store.read(s_checkpointTable, router.name, m_storeNow));
-        }
-        router.lastCheckpoint = m_now;
-        HolderCheckpoint::Commitments commitments;
-        for (const auto &[budget, holding] : router.holdings) {
-            if (const std::optional<Commitment> commitment = holding->commitment(m_now)) {
-                commitments.emplace(teamName(budget), *commitment);
-            }
-        }
-        const std::optional<RowTransaction> transaction = router.checkpoint.plan(commitments, m_now);
-        if (transaction) {
-            ++m_counts.checkpoints;
-            addBytes(*transaction);
-            router.checkpoint.answered(*m_store.transact(*transaction, m_storeNow), m_now);
-        }
-    }
-
-    void addBytes(const RowTransaction &transaction)
-    {
-        m_counts.bytes += s_rowOverhead * transaction.conditions.size();
-        for (const RowChange &change : transaction.changes) {
-            m_counts.bytes += s_rowOverhead + (change.value ? change.value->size() * 4 / 3 : 0);
-        }
-    }
-
     void print() const
     {
         const double routerSeconds = FLAGS_routers * FLAGS_seconds;
@@ -264,23 +143,18 @@
             {"routers", FLAGS_routers},
             {"budgets", FLAGS_budgets},
             {"all_keep", FLAGS_all_keep},
-            {"calls_a_router_and_second", rate(m_counts.reads + m_counts.flushes + m_counts.checkpoints)},
-            {"reads", rate(m_counts.reads)},
-            {"flushes", rate(m_counts.flushes)},
-            {"checkpoints", rate(m_counts.checkpoints)},
+            {"calls_a_router_and_second", rate(m_store.use.reads + m_store.use.flushes + m_store.use.checkpoints)},
+            {"reads", rate(m_store.use.reads)},
+            {"flushes", rate(m_store.use.flushes)},
+            {"checkpoints", rate(m_store.use.checkpoints)},
             {"loans", rate(m_counts.loans)},
-            {"bytes_a_router_and_second", rate(m_counts.bytes)},
+            {"bytes_a_router_and_second", rate(m_store.use.bytes)},
             {"refused_share", static_cast<double>(m_counts.refused) / static_cast<double>(std::max<std::uint64_t>(1, m_counts.requests))}})
                   << "\n";
     }
 
-    /// Names, versions and punctuation of a row in a call, in bytes: a table, a part, a key of an address.
-    static constexpr std::uint64_t s_rowOverhead = 90;
-
-    Instant m_now = Instant(std::chrono::seconds(100));
-    StoreTimeMs m_storeNow = 1000;
-    MemoryRows m_store;
-    std::vector<std::unique_ptr<Router>> m_routers;
+    SimulatedStore m_store;
+    std::vector<std::unique_ptr<BookRouter>> m_routers;
     std::map<std::string, int> m_index;
     /// By budget.
     std::vector<std::vector<int>> m_keepers;
