--- a/src/measure/bookrouter.cpp
+++ b/src/measure/bookrouter.cpp
@@ -61,6 +61,18 @@
     return std::nullopt;
 }
 
+Tokens BookRouter::lend(int budget, Tokens asked)
+{
+    TeamHolding &held = holding(budget);
+    const Tokens wanted = held.unused() > 0 ? std::min(asked, held.unused()) : asked;
+    if (const std::optional<Reservation> made = reserve(budget, wanted)) {
+        held.lendReserved(*made);
+        held.noteRequest(wanted, m_store.now);
+        return wanted;
+    }
+    return held.lend(asked, m_store.now);
+}
+
 void BookRouter::keep(std::size_t routers)
 {
     if (!m_store.reachable) {
--- a/src/measure/bookrouter.h
+++ b/src/measure/bookrouter.h
@@ -55,6 +55,9 @@
     /// Reserves at once, or after a checkpoint that is written ahead.
     std::optional<Reservation> reserve(int budget, Tokens bound);
 
+    /// Lends a peer up to this much: all that is held where that is less, as soon as a checkpoint covers it. Returns how much.
+    Tokens lend(int budget, Tokens asked);
+
     /// Reads, flushes and writes checkpoints as far as they are due in a fleet of so many routers.
     void keep(std::size_t routers);
 
--- a/src/measure/books.cpp
+++ b/src/measure/books.cpp
@@ -19,6 +19,7 @@
 DEFINE_int32(routers, 8, "routers of the fleet");
 DEFINE_double(requests_per_second, 60, "requests of the whole fleet");
 DEFINE_double(seconds, 30, "simulated time in which requests come");
+DEFINE_int64(prepaid, 3'200'000, "tokens of each of the four budgets; what is paid for but not enough to be called ample");
 DEFINE_uint64(seed, 1, "of the random draws");
 
 namespace {
@@ -27,7 +28,6 @@
 
 constexpr Duration s_tick = std::chrono::milliseconds(10);
 constexpr int s_budgets = 4;
-constexpr Tokens s_prepaid = 100'000'000;
 constexpr Tokens s_tokensPerEvent = 4;
 /// Between the death of a process and the start of its successor.
 constexpr Duration s_restart = std::chrono::milliseconds(1500);
@@ -86,7 +86,7 @@
     explicit Fleet(Cause cause)
         : m_cause(cause)
         , m_random(FLAGS_seed)
-        , m_statement{.prepaid = s_prepaid, .planVersion = 1}
+        , m_statement{.prepaid = FLAGS_prepaid, .planVersion = 1}
     {
         for (int router = 0; router < FLAGS_routers; ++router) {
             m_names.push_back("10.0.0." + std::to_string(router) + ":7340");
@@ -94,7 +94,7 @@
             m_downUntil.push_back(m_store.now);
         }
         for (int budget = 0; budget < s_budgets; ++budget) {
-            m_keepers.push_back(keepersOf(BookRouter::teamName(budget), s_prepaid, s_firstBound, m_names));
+            m_keepers.push_back(keepersOf(BookRouter::teamName(budget), FLAGS_prepaid, s_firstBound, m_names));
         }
         for (std::size_t router = 0; router < m_routers.size(); ++router) {
             start(router);
@@ -139,7 +139,7 @@
             }
             left += m_routers.front()->holding(budget).freeInPool();
         }
-        return s_budgets * s_prepaid - left;
+        return s_budgets * FLAGS_prepaid - left;
     }
 
     /// Borrowed tokens that routers held, unused, when they died.
@@ -260,7 +260,7 @@
             if (lender == router || !up(lender) || !keeps(lender, budget)) {
                 continue;
             }
-            const Tokens lent = m_routers[lender]->holding(budget).lend(wanted, m_store.now);
+            const Tokens lent = m_routers[lender]->lend(budget, wanted);
             wanted -= lent;
             if (m_cause != Cause::LoansLost || !drawn(s_disturbedShare)) {
                 own.borrow(lent);
