--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -490,6 +490,7 @@
         const Instant now = steadyNow();
         const std::optional<Instant> opens = m_gateway.m_board.opensAt(m_serviceName, now);
         failure.retryAfterMs = opens ? inMs(*opens - now) + 1 : s_retryAfterOverloadMs;
+        failure.detail.append(opens ? "; all targets rest, or admit no more" : "");
     } else if (end == AttemptEnd::TimedOut) {
         failure.kind = FailureKind::DeadlineExceeded;
     }
