--- a/src/tests/admissionfleettest.cpp
+++ b/src/tests/admissionfleettest.cpp
@@ -1,5 +1,6 @@
 #include "clock/steadytime.h"
 #include "net/pause.h"
+#include "routing/limitadmissions.h"
 #include "routing/loadserver.h"
 #include "tests/gatewayscene.h"
 
@@ -11,7 +12,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -144,9 +144,9 @@
             co_await pause(std::chrono::milliseconds(20));
         }
     });
-    const double span = std::max(4.0, seconds(steadyNow() - begun));
-    BOOST_TEST(served <= 1.5 * s_perSecond * span + 5);
-    // More than the first request of each router, which tells it of the limit.
+    // The first request of each router tells it of the limit.
+    const double admitted = s_perSecond * seconds(steadyNow() - begun + LimitAdmissions::s_leeway) + 1;
+    BOOST_TEST(served <= admitted + s_routers);
     BOOST_TEST(served > static_cast<int>(s_routers));
     BOOST_TEST(fleet.target().requests().size() == static_cast<std::size_t>(served));
 }
