Answers between a crash and its report count: an innocent request is not held back for them

Cause: a crash is known only when the target's port closes, up to 1.5 s after connections broke off. Answers to the request within that time were heard by routers that did not suspect it yet, and were forgotten; then the reports arrived together, three crashes "in a row". Its trial then fell on one more crash, and it was refused for ten minutes, although it had been answered dozens of times a minute.

Ruled out: that too few trials are the cause.

Change: while requests broke off anywhere within the last minute, routers remember who was answered and when (AnswerMemory). Reports of crashes say how long ago the connections broke off; a crash before an answer does not count, and the peers who count it are told of the answer with its age. A request that was answered within the last minute gets up to three further trials, a second apart, before it is held for ten minutes: its trial's crash proves little. The poison is never answered, so it gets none. Nothing per request in calm times, as before. A row taken out of the store is no answer (PoisonGuard::lift).

--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -562,7 +562,7 @@
 
 void RequestRun::noteAnswered()
 {
-    if (m_gateway.m_guard.mayKnow(RequestFingerprint::addressHash(fingerprintSource()))) {
+    if (m_gateway.m_guard.wantsAnswers(RequestFingerprint::addressHash(fingerprintSource()))) {
         m_gateway.m_guard.answered(fingerprints());
     }
 }
--- a/src/quarantine/crashwatch.cpp
+++ b/src/quarantine/crashwatch.cpp
@@ -20,6 +20,8 @@
 constexpr Duration s_peersMemory = std::chrono::seconds(2);
 /// Requests remembered for each target that were broken off from this side.
 constexpr std::size_t s_mostLeft = 64;
+/// Answers are worth remembering for this long after requests broke off: where targets crash, it is most often in series.
+constexpr Duration s_alertTime = std::chrono::minutes(1);
 
 }
 
@@ -27,7 +29,9 @@
 {
     const auto [found, first] = m_targets.try_emplace(incarnation);
     Broken &broken = found->second;
+    broken.first = first ? now : broken.first;
     broken.last = now;
+    m_lastBroken = now;
     if (broken.crashed) {
         return Step::Report;
     }
@@ -87,6 +91,7 @@
 std::vector<RequestFingerprint> CrashWatch::peerBrokeOff(std::uint64_t target, std::vector<RequestFingerprint> fingerprints, Instant now)
 {
     PeersBroken &broken = m_peers[target];
+    m_lastBroken = now;
     if (broken.crashed) {
         return fingerprints;
     }
@@ -103,12 +108,24 @@
 std::vector<RequestFingerprint> CrashWatch::takePeers(std::uint64_t target, Instant now)
 {
     PeersBroken &broken = m_peers[target];
+    m_lastBroken = now;
     broken.crashed = true;
     const bool recent = now - std::exchange(broken.last, now) <= s_peersMemory;
     std::vector<RequestFingerprint> underWay = std::exchange(broken.fingerprints, {});
     return recent ? underWay : std::vector<RequestFingerprint>();
 }
 
+Instant CrashWatch::brokenSince(const std::string &incarnation, Instant now) const
+{
+    const auto found = m_targets.find(incarnation);
+    return found != m_targets.end() ? found->second.first : now;
+}
+
+bool CrashWatch::alert(Instant now) const
+{
+    return m_lastBroken && now - *m_lastBroken <= s_alertTime;
+}
+
 void CrashWatch::alive(const std::string &incarnation)
 {
     m_targets.erase(incarnation);
--- a/src/quarantine/crashwatch.h
+++ b/src/quarantine/crashwatch.h
@@ -52,6 +52,13 @@
     /// The target, named by the hash of its incarnation, has crashed, as this router or a peer saw. Returns what peers had under way there.
     std::vector<RequestFingerprint> takePeers(std::uint64_t target, Instant now);
 
+    /// When the first of the attempts broke off whose target is being asked or has crashed: the time of its crash. `now` for another
+    /// target.
+    Instant brokenSince(const std::string &incarnation, Instant now) const;
+
+    /// True when requests broke off at any target lately, here or at a peer: their target may have crashed.
+    bool alert(Instant now) const;
+
     /// The target accepts connections, or nothing can be said of it.
     void alive(const std::string &incarnation);
 
@@ -64,6 +71,7 @@
         /// The first ones of these that peers know of.
         std::size_t told = 0;
         bool crashed = false;
+        Instant first{};
         Instant last{};
     };
 
@@ -86,6 +94,7 @@
     /// By the hash of the target's incarnation.
     std::map<std::uint64_t, std::vector<Left>> m_left;
     std::map<std::uint64_t, PeersBroken> m_peers;
+    std::optional<Instant> m_lastBroken;
 };
 
 }
--- a/src/quarantine/poisonguard.cpp
+++ b/src/quarantine/poisonguard.cpp
@@ -73,7 +73,8 @@
         boost::asio::co_spawn(m_executor, watch(incarnation, address), boost::asio::detached);
         break;
     case CrashWatch::Step::Report:
-        report({.target = stableHash(incarnation), .underWay = {fingerprints.begin(), fingerprints.end()}}, incarnation);
+        report({.target = stableHash(incarnation), .underWay = {fingerprints.begin(), fingerprints.end()}, .ago = sinceBroken(incarnation)},
+               incarnation);
         break;
     }
 }
@@ -90,7 +91,9 @@
         const bool refused = co_await refuses(address);
         if (refused) {
             co_await pause(s_gatherTime);
-            report({.target = stableHash(incarnation), .underWay = m_watch.refused(incarnation, steadyNow())}, incarnation);
+            report(
+                {.target = stableHash(incarnation), .underWay = m_watch.refused(incarnation, steadyNow()), .ago = sinceBroken(incarnation)},
+                incarnation);
             co_return;
         }
         tellBrokenOff(incarnation);
@@ -121,10 +124,16 @@
 {
     std::vector<RequestFingerprint> untold = m_watch.takeUntold(incarnation);
     if (!untold.empty()) {
-        m_tellCrash({.target = stableHash(incarnation), .underWay = std::move(untold), .crashed = false});
+        m_tellCrash({.target = stableHash(incarnation), .underWay = std::move(untold), .crashed = false, .ago = sinceBroken(incarnation)});
     }
 }
 
+Duration PoisonGuard::sinceBroken(const std::string &incarnation) const
+{
+    const Instant now = steadyNow();
+    return now - m_watch.brokenSince(incarnation, now);
+}
+
 void PoisonGuard::report(CrashReport crash, std::string_view target)
 {
     logLine(Severity::Warning, "target.crashed", {{"target", target}, {"under_way", static_cast<std::int64_t>(crash.underWay.size())}});
@@ -132,13 +141,24 @@
     m_tellCrash(crash);
     const std::vector<RequestFingerprint> peers = m_watch.takePeers(crash.target, steadyNow());
     crash.underWay.insert(crash.underWay.end(), peers.begin(), peers.end());
-    blame(crash.target, crash.underWay, target);
+    blame(crash, target);
+}
+
+void PoisonGuard::tellAnswered(const CrashReport &crash)
+{
+    const Instant now = steadyNow();
+    for (const RequestFingerprint &fingerprint : crash.underWay) {
+        if (const std::optional<Instant> answered = m_quarantine.answeredSince(fingerprint, now - crash.ago)) {
+            m_tellChange({.fingerprint = fingerprint, .remaining = *answered - now});
+        }
+    }
 }
 
-void PoisonGuard::blame(std::uint64_t target, std::span<const RequestFingerprint> underWay, std::string_view name)
+void PoisonGuard::blame(const CrashReport &crash, std::string_view name)
 {
+    tellAnswered(crash);
     const Instant now = steadyNow();
-    for (const RequestFingerprint &fingerprint : m_quarantine.crashed(target, underWay, now)) {
+    for (const RequestFingerprint &fingerprint : m_quarantine.crashed(crash.target, crash.underWay, now, crash.ago)) {
         const Quarantine::Entry &entry = m_quarantine.entries().at(fingerprint);
         logLine(Severity::Warning,
                 "request.quarantined",
@@ -156,14 +176,19 @@
 void PoisonGuard::answered(const FingerprintPair &fingerprints)
 {
     for (const RequestFingerprint &fingerprint : fingerprints) {
-        acquit(fingerprint);
+        acquit(fingerprint, steadyNow());
     }
 }
 
-void PoisonGuard::acquit(const RequestFingerprint &fingerprint)
+bool PoisonGuard::wantsAnswers(std::uint64_t addressHash) const
+{
+    return m_watch.alert(steadyNow()) || m_quarantine.mayKnow(addressHash);
+}
+
+void PoisonGuard::acquit(const RequestFingerprint &fingerprint, Instant answered)
 {
     const bool held = m_quarantine.entries().contains(fingerprint);
-    if (!m_quarantine.acquit(fingerprint)) {
+    if (!m_quarantine.answered(fingerprint, answered)) {
         return;
     }
     m_metrics.count("acquittals_total", {.name = "state", .value = held ? "held" : "suspected"});
@@ -227,18 +252,19 @@
     const Instant now = steadyNow();
     if (!report.crashed) {
         if (const std::vector<RequestFingerprint> known = m_watch.peerBrokeOff(report.target, report.underWay, now); !known.empty()) {
-            blame(report.target, known, seenBy);
+            blame({.target = report.target, .underWay = known, .ago = report.ago}, seenBy);
         }
         return;
     }
     m_metrics.count("crash_reports_total", {.name = "from", .value = "peer"});
     if (std::vector<RequestFingerprint> left = m_watch.crashedElsewhere(report.target, now); !left.empty()) {
-        this->report({.target = report.target, .underWay = std::move(left)}, seenBy);
+        this->report({.target = report.target, .underWay = std::move(left), .ago = report.ago}, seenBy);
     }
     // The peer whose requests these were may have ended since it told of them, so that nobody else reports them.
-    blame(report.target, m_watch.takePeers(report.target, now), seenBy);
+    blame({.target = report.target, .underWay = m_watch.takePeers(report.target, now), .ago = report.ago}, seenBy);
+    tellAnswered(report);
     // Whoever saw the crash that decides it tells the others and the store; here it is only believed sooner.
-    for (const RequestFingerprint &fingerprint : m_quarantine.crashed(report.target, report.underWay, now)) {
+    for (const RequestFingerprint &fingerprint : m_quarantine.crashed(report.target, report.underWay, now, report.ago)) {
         logLine(Severity::Warning, "request.quarantined", {{"fingerprint", fingerprint.text()}, {"by", "peers' reports"}});
     }
     count();
@@ -250,7 +276,8 @@
     const bool lifts = change.terms == 0;
     const bool held = m_quarantine.entries().contains(change.fingerprint);
     const Quarantine::Standing standing{.nextTrial = now + change.remaining, .terms = change.terms, .trials = change.trials};
-    const bool isNew = lifts ? m_quarantine.acquit(change.fingerprint) : m_quarantine.learn(change.fingerprint, standing, now);
+    const bool isNew = lifts ? m_quarantine.answered(change.fingerprint, now + std::min(change.remaining, Duration::zero()))
+                             : m_quarantine.learn(change.fingerprint, standing, now);
     if (isNew) {
         count();
     }
@@ -261,6 +288,14 @@
     }
 }
 
+void PoisonGuard::lift(const RequestFingerprint &fingerprint)
+{
+    if (m_quarantine.acquit(fingerprint)) {
+        count();
+        logLine(Severity::Info, "request.acquitted", {{"fingerprint", fingerprint.text()}, {"by", "the store"}});
+    }
+}
+
 void PoisonGuard::expire()
 {
     m_watch.expire(steadyNow());
--- a/src/quarantine/poisonguard.h
+++ b/src/quarantine/poisonguard.h
@@ -25,12 +25,15 @@
     std::vector<RequestFingerprint> underWay;
     /// False while it is only known that requests broke off there.
     bool crashed = true;
+    /// Since they broke off.
+    Duration ago{};
 };
 
 /// A request is held back from now on, or is not any more.
 struct QuarantineChange {
     RequestFingerprint fingerprint;
-    /// Until its next trial; negative once that may begin.
+    /// Until its next trial; negative once that may begin. Of a request that nothing speaks against any more: negative, the time since the
+    /// answer that showed it.
     Duration remaining{};
     /// See Quarantine::Entry; 0: nothing speaks against it any more.
     unsigned terms = 0;
@@ -67,6 +70,9 @@
         return m_quarantine.mayKnow(addressHash);
     }
 
+    /// True when answers to requests of this address are to be told to `answered`.
+    bool wantsAnswers(std::uint64_t addressHash) const;
+
     /// How long until the request may be tried again; none when it is not held back.
     std::optional<Duration> heldFor(const FingerprintPair &fingerprints) const;
 
@@ -83,6 +89,9 @@
     /// A peer, or the store, holds a request back or no longer does.
     void take(const QuarantineChange &change, std::string_view from);
 
+    /// The store lets a request pass again.
+    void lift(const RequestFingerprint &fingerprint);
+
     /// Forgets what is long past. Call now and then.
     void expire();
 
@@ -111,9 +120,13 @@
     /// Tells the peers what broke off at a target that has not refused a connection yet.
     void tellBrokenOff(const std::string &incarnation);
     /// These were under way at a crash; what is held back because of it is told, and kept.
-    void blame(std::uint64_t target, std::span<const RequestFingerprint> underWay, std::string_view name);
-    void acquit(const RequestFingerprint &fingerprint);
+    void blame(const CrashReport &crash, std::string_view name);
+    /// Tells the peers of those that were answered here since the crash, as the peers blame them for it.
+    void tellAnswered(const CrashReport &crash);
+    void acquit(const RequestFingerprint &fingerprint, Instant answered);
     void tell(const RequestFingerprint &fingerprint) const;
+    /// Since attempts at the target broke off.
+    Duration sinceBroken(const std::string &incarnation) const;
     void count() const;
 
     boost::asio::any_io_executor m_executor;
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,5 +1,6 @@
 #include "quarantine/quarantine.h"
 
+#include "quarantine/dropoldest.h"
 #include "routing/stablehash.h"
 
 #include <boost/endian/conversion.hpp>
@@ -67,18 +68,26 @@
 {
 }
 
-std::vector<RequestFingerprint> Quarantine::crashed(std::uint64_t target, std::span<const RequestFingerprint> underWay, Instant now)
+std::vector<RequestFingerprint>
+Quarantine::crashed(std::uint64_t target, std::span<const RequestFingerprint> underWay, Instant now, Duration ago)
 {
     std::vector<RequestFingerprint> held;
     for (const RequestFingerprint &fingerprint : underWay) {
+        if (answeredSince(fingerprint, now - ago)) {
+            continue;
+        }
         if (const auto known = m_entries.find(fingerprint); known != m_entries.end()) {
             Entry &entry = known->second;
             addTarget(entry.targets, target);
             // Copies that were under way when it was first held back change nothing; one on trial does.
             if (entry.trialAt && now - *entry.trialAt <= s_trialTime) {
                 entry.trialAt.reset();
-                ++entry.terms;
-                entry.nextTrial = now + termOf(entry);
+                if (entry.trials <= extraTrials(entry)) {
+                    entry.nextTrial = now + m_options.extraTrialPause;
+                } else {
+                    ++entry.terms;
+                    entry.nextTrial = now + termOf(entry);
+                }
                 trialDecided(fingerprint);
                 held.push_back(fingerprint);
             }
@@ -91,7 +100,8 @@
             m_entries[fingerprint] = {.nextTrial = now + m_options.firstTrial + slotOf(fingerprint),
                                       .terms = 1,
                                       .targets = std::move(suspect.targets),
-                                      .since = now};
+                                      .since = now,
+                                      .answers = m_answers.answers(fingerprint, now)};
             m_suspects.erase(fingerprint);
             held.push_back(fingerprint);
         }
@@ -121,6 +131,23 @@
     return static_cast<std::size_t>(unexplained) >= m_options.crashes;
 }
 
+bool Quarantine::answered(const RequestFingerprint &fingerprint, Instant at)
+{
+    m_answers.note(fingerprint, at);
+    return acquit(fingerprint);
+}
+
+std::optional<Instant> Quarantine::answeredSince(const RequestFingerprint &fingerprint, Instant crash) const
+{
+    const std::optional<Instant> last = m_answers.lastAnswer(fingerprint);
+    return last && *last > crash ? last : std::nullopt;
+}
+
+unsigned Quarantine::extraTrials(const Entry &entry) const
+{
+    return std::min(entry.answers, m_options.mostExtraTrials);
+}
+
 bool Quarantine::acquit(const RequestFingerprint &fingerprint)
 {
     trialDecided(fingerprint);
@@ -131,7 +158,7 @@
 
 bool Quarantine::learn(const RequestFingerprint &fingerprint, const Standing &standing, Instant now)
 {
-    const auto [known, isNew] = m_entries.try_emplace(fingerprint, Entry{.since = now});
+    const auto [known, isNew] = m_entries.try_emplace(fingerprint, Entry{.since = now, .answers = m_answers.answers(fingerprint, now)});
     Entry &entry = known->second;
     const bool longer = standing.terms > entry.terms;
     if (longer) {
@@ -197,7 +224,7 @@
     Entry &entry = found->second;
     ++entry.trials;
     entry.trialAt = now;
-    entry.nextTrial = now + (entry.trials < m_options.earlyTrials ? s_trialTime : termOf(entry));
+    entry.nextTrial = now + (entry.trials < m_options.earlyTrials + extraTrials(entry) ? s_trialTime : termOf(entry));
     m_onTrial = fingerprint;
     m_trialEnds = now + s_trialTime;
 }
@@ -217,6 +244,7 @@
 
 void Quarantine::expire(Instant now)
 {
+    m_answers.expire(now);
     std::erase_if(m_suspects, [&](const auto &suspect) {
         return now - suspect.second.last > m_options.memory;
     });
@@ -237,19 +265,8 @@
     if (m_suspects.size() <= m_options.mostSuspects) {
         return;
     }
-    std::vector<Instant> times;
-    times.reserve(m_suspects.size());
-    for (const auto &[fingerprint, suspect] : m_suspects) {
-        times.push_back(suspect.last);
-    }
-    // A quarter at once, so that a storm of crashes does not sort all of them for each request.
-    const auto oldest = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 4);
-    std::ranges::nth_element(times, oldest);
-    std::size_t surplus = times.size() / 4 + 1;
-    std::erase_if(m_suspects, [&](const auto &suspect) {
-        const bool drop = surplus > 0 && suspect.second.last <= *oldest;
-        surplus -= drop ? 1 : 0;
-        return drop;
+    dropOldestQuarter(m_suspects, [](const Suspect &suspect) {
+        return suspect.last;
     });
 }
 
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock/instant.h"
+#include "quarantine/answermemory.h"
 #include "quarantine/requestfingerprint.h"
 
 #include <cstdint>
@@ -35,6 +36,11 @@
         Duration firstTrial = std::chrono::seconds(1);
         /// Trials in quick succession, as long as none is decided. No more: each may cost a target.
         unsigned earlyTrials = 2;
+        /// Further trials of a request that was answered lately, one for each answer: it is most likely there by chance, also when the
+        /// target of its trial crashes.
+        unsigned mostExtraTrials = 3;
+        /// From a trial that crashed a target to such a further one.
+        Duration extraTrialPause = std::chrono::seconds(1);
         /// Between later trials, and once a trial has crashed a target: it may have crashed of something else.
         Duration firstTerm = std::chrono::minutes(10);
         /// And once two have.
@@ -59,6 +65,8 @@
         Instant since{};
         /// The store has it.
         bool stored = false;
+        /// Answers to it, lately, when it was first held back.
+        unsigned answers = 0;
         /// Trials so far, on any router, and when this router's own began that is under way.
         unsigned trials = 0;
         std::optional<Instant> trialAt;
@@ -72,11 +80,19 @@
     Quarantine();
     explicit Quarantine(Options options);
 
-    /// A target crashed, named by a hash of its incarnation, with these under way among others. Returns those that are held back, or held
-    /// back for longer, from now on because of it.
-    std::vector<RequestFingerprint> crashed(std::uint64_t target, std::span<const RequestFingerprint> underWay, Instant now);
+    /// A target crashed `ago` before `now`, named by a hash of its incarnation, with these under way among others. Returns those that are
+    /// held back, or held back for longer, from now on because of it.
+    std::vector<RequestFingerprint>
+    crashed(std::uint64_t target, std::span<const RequestFingerprint> underWay, Instant now, Duration ago = Duration::zero());
 
-    /// Takes all back that speaks against a request: it was answered whole, or a peer knows that it was. True when there was anything.
+    /// A request was answered whole at `at`, here or at a peer, whether anything speaks against it or not: reports of crashes before that
+    /// may still be on their way. True when anything spoke against it.
+    bool answered(const RequestFingerprint &fingerprint, Instant at);
+
+    /// When the request was answered whole, if that was after `crash`.
+    std::optional<Instant> answeredSince(const RequestFingerprint &fingerprint, Instant crash) const;
+
+    /// Takes all back that speaks against a request. True when there was anything.
     bool acquit(const RequestFingerprint &fingerprint);
 
     /// What others know of a request that is held back; see Entry.
@@ -142,6 +158,7 @@
 
     bool explained(std::uint64_t target, Instant now) const;
     bool suspected(const Suspect &suspect, Instant now) const;
+    unsigned extraTrials(const Entry &entry) const;
     Duration termOf(const Entry &entry) const;
     void trialDecided(const RequestFingerprint &fingerprint);
     void boundSuspects();
@@ -150,6 +167,7 @@
     Options m_options;
     std::map<RequestFingerprint, Suspect> m_suspects;
     Entries m_entries;
+    AnswerMemory m_answers;
     /// Whose trial is under way somewhere, and until when it counts as undecided.
     std::optional<RequestFingerprint> m_onTrial;
     Instant m_trialEnds{};
--- a/src/quarantine/quarantinekeeper.h
+++ b/src/quarantine/quarantinekeeper.h
@@ -103,7 +103,7 @@
             }
         }
         for (const RequestFingerprint &fingerprint : lifted) {
-            m_guard.take({.fingerprint = fingerprint}, "the store");
+            m_guard.lift(fingerprint);
         }
     }
 
@@ -136,7 +136,7 @@
     {
         const auto entry = m_guard.quarantine().entries().find(fingerprint);
         if (entry != m_guard.quarantine().entries().end() && entry->second.since < steadyNow() - ago) {
-            m_guard.take({.fingerprint = fingerprint}, "the store");
+            m_guard.lift(fingerprint);
         }
     }
 
--- a/src/quarantine/quarantinenotice.cpp
+++ b/src/quarantine/quarantinenotice.cpp
@@ -2,6 +2,8 @@
 
 #include "operations/log.h"
 
+#include <algorithm>
+
 namespace bamboohold {
 
 wire::CrashNotice toWire(const CrashReport &report)
@@ -9,6 +11,7 @@
     wire::CrashNotice notice;
     notice.set_target(report.target);
     notice.set_broke_off(!report.crashed);
+    notice.set_ago_ms(std::chrono::duration_cast<std::chrono::milliseconds>(report.ago).count());
     for (const RequestFingerprint &fingerprint : report.underWay) {
         notice.add_under_way(std::string(fingerprint.bytes()));
     }
@@ -27,7 +30,10 @@
 
 CrashReport fromWire(const wire::CrashNotice &notice)
 {
-    CrashReport report{.target = notice.target(), .crashed = !notice.broke_off()};
+    CrashReport report{.target = notice.target(),
+                       .underWay = {},
+                       .crashed = !notice.broke_off(),
+                       .ago = std::max(Quarantine::boundedTerm(notice.ago_ms()), Duration::zero())};
     for (const std::string &bytes : notice.under_way()) {
         if (const std::optional<RequestFingerprint> fingerprint = RequestFingerprint::fromBytes(bytes)) {
             report.underWay.push_back(*fingerprint);
--- /dev/null
+++ b/src/tests/answermemorytest.cpp
@@ -0,0 +1,55 @@
+#include "quarantine/answermemory.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboohold;
+
+namespace {
+
+RequestFingerprint request(int number)
+{
+    const std::string body = absl::StrCat(number);
+    return RequestFingerprint::of({.team = "team", .body = body});
+}
+
+constexpr Instant s_now = Instant{} + std::chrono::hours(1);
+
+}
+
+BOOST_AUTO_TEST_SUITE(AnswerMemoryTest)
+
+BOOST_AUTO_TEST_CASE(countsAnswersWithinItsMemory)
+{
+    AnswerMemory memory;
+    BOOST_TEST(!memory.lastAnswer(request(0)).has_value());
+    BOOST_TEST(memory.answers(request(0), s_now) == 0U);
+    memory.note(request(0), s_now);
+    // A peer's word of an older answer.
+    memory.note(request(0), s_now - std::chrono::seconds(1));
+    BOOST_TEST((memory.lastAnswer(request(0)) == s_now));
+    BOOST_TEST(memory.answers(request(0), s_now) == 2U);
+    BOOST_TEST(memory.answers(request(0), s_now + std::chrono::minutes(2)) == 0U);
+    memory.note(request(0), s_now + std::chrono::minutes(2));
+    BOOST_TEST(memory.answers(request(0), s_now + std::chrono::minutes(2)) == 1U);
+    memory.expire(s_now + std::chrono::minutes(4));
+    BOOST_TEST(!memory.lastAnswer(request(0)).has_value());
+}
+
+// A router answers other requests all the time: its memory must not grow with them.
+BOOST_AUTO_TEST_CASE(memoryIsBounded)
+{
+    AnswerMemory memory({.memory = std::chrono::minutes(1), .most = 100});
+    int known = 0;
+    for (int number = 0; number < 1000; ++number) {
+        memory.note(request(number), s_now + std::chrono::milliseconds(number));
+        BOOST_TEST(memory.lastAnswer(request(number)).has_value());
+    }
+    for (int number = 0; number < 1000; ++number) {
+        known += memory.lastAnswer(request(number)) ? 1 : 0;
+    }
+    BOOST_TEST(known <= 100);
+    BOOST_TEST(known >= 50);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/crashwatchtest.cpp
+++ b/src/tests/crashwatchtest.cpp
@@ -80,6 +80,22 @@
     BOOST_TEST(watch.crashedElsewhere(stableHash("target"), s_now + std::chrono::milliseconds(200)).empty());
 }
 
+// Guards against answers being forgotten that come between a crash and its report.
+BOOST_AUTO_TEST_CASE(watchesAnswersAfterRequestsBrokeOff)
+{
+    CrashWatch watch;
+    BOOST_TEST(!watch.alert(s_now));
+    watch.brokeOff("target", request("a"), s_now);
+    watch.brokeOff("target", request("b"), s_now + std::chrono::milliseconds(5));
+    BOOST_TEST((watch.brokenSince("target", s_now + std::chrono::seconds(1)) == s_now));
+    BOOST_TEST((watch.brokenSince("other", s_now + std::chrono::seconds(1)) == s_now + std::chrono::seconds(1)));
+    BOOST_TEST(watch.alert(s_now + std::chrono::seconds(30)));
+    BOOST_TEST(!watch.alert(s_now + std::chrono::minutes(10)));
+    CrashWatch peer;
+    peer.peerBrokeOff(stableHash("target"), all({request("a")}), s_now);
+    BOOST_TEST(peer.alert(s_now));
+}
+
 BOOST_AUTO_TEST_CASE(oldCrashesAreForgotten)
 {
     CrashWatch watch;
--- a/src/tests/poisonfleet.cpp
+++ b/src/tests/poisonfleet.cpp
@@ -229,18 +229,27 @@
 
 void PoisonFleet::acquit(std::size_t number, const FingerprintPair &request)
 {
+    Router &router = m_routers[number];
+    if (!router.watch.alert(at(m_now)) && !router.quarantine.knows(request.front()) && !router.quarantine.knows(request.back())) {
+        return;
+    }
     for (const RequestFingerprint &fingerprint : request) {
-        if (m_routers[number].quarantine.acquit(fingerprint)) {
+        if (router.quarantine.answered(fingerprint, at(m_now))) {
             if (m_rows.erase(fingerprint) > 0) {
                 m_acquittedAt[fingerprint] = m_now;
             }
-            tellOthers(number, [fingerprint](Router &other) {
-                other.quarantine.acquit(fingerprint);
-            });
+            tellAnswered(number, fingerprint, at(m_now));
         }
     }
 }
 
+void PoisonFleet::tellAnswered(std::size_t number, const RequestFingerprint &fingerprint, Instant answered)
+{
+    tellOthers(number, [fingerprint, answered](Router &other) {
+        other.quarantine.answered(fingerprint, answered);
+    });
+}
+
 void PoisonFleet::crash(std::size_t number)
 {
     Target &target = m_targets[number];
@@ -302,28 +311,41 @@
 void PoisonFleet::tellBrokenOff(std::size_t router, const std::string &life)
 {
     const std::vector<RequestFingerprint> untold = m_routers[router].watch.takeUntold(life);
-    tellOthers(router, [this, target = stableHash(life), untold](Router &other) {
-        decide(numberOf(other), target, other.watch.peerBrokeOff(target, untold, at(m_now)));
+    const Instant crash = m_routers[router].watch.brokenSince(life, at(m_now));
+    tellOthers(router, [this, target = stableHash(life), untold, crash](Router &other) {
+        decide(numberOf(other), target, other.watch.peerBrokeOff(target, untold, at(m_now)), crash);
     });
 }
 
 void PoisonFleet::report(std::size_t router, const std::string &life, std::vector<RequestFingerprint> underWay)
 {
     const std::uint64_t target = stableHash(life);
-    tellOthers(router, [this, target, underWay](Router &other) {
+    const Instant crash = m_routers[router].watch.brokenSince(life, at(m_now));
+    tellOthers(router, [this, target, underWay, crash](Router &other) {
         const std::size_t number = numberOf(other);
-        decide(number, target, other.watch.crashedElsewhere(target, at(m_now)));
-        decide(number, target, other.watch.takePeers(target, at(m_now)));
-        other.quarantine.crashed(target, underWay, at(m_now));
+        decide(number, target, other.watch.crashedElsewhere(target, at(m_now)), crash);
+        decide(number, target, other.watch.takePeers(target, at(m_now)), crash);
+        tellAnsweredSince(number, underWay, crash);
+        other.quarantine.crashed(target, underWay, at(m_now), at(m_now) - crash);
     });
     const std::vector<RequestFingerprint> peers = m_routers[router].watch.takePeers(target, at(m_now));
     underWay.insert(underWay.end(), peers.begin(), peers.end());
-    decide(router, target, underWay);
+    decide(router, target, underWay, crash);
+}
+
+void PoisonFleet::tellAnsweredSince(std::size_t number, const std::vector<RequestFingerprint> &underWay, Instant crash)
+{
+    for (const RequestFingerprint &fingerprint : underWay) {
+        if (const std::optional<Instant> answered = m_routers[number].quarantine.answeredSince(fingerprint, crash)) {
+            tellAnswered(number, fingerprint, *answered);
+        }
+    }
 }
 
-void PoisonFleet::decide(std::size_t router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay)
+void PoisonFleet::decide(std::size_t router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay, Instant crash)
 {
-    for (const RequestFingerprint &fingerprint : m_routers[router].quarantine.crashed(target, underWay, at(m_now))) {
+    tellAnsweredSince(router, underWay, crash);
+    for (const RequestFingerprint &fingerprint : m_routers[router].quarantine.crashed(target, underWay, at(m_now), at(m_now) - crash)) {
         m_rows[fingerprint] = m_routers[router].quarantine.entries().at(fingerprint);
         tell(router, fingerprint);
     }
--- a/src/tests/poisonfleet.h
+++ b/src/tests/poisonfleet.h
@@ -123,7 +123,9 @@
     std::size_t numberOf(const Router &router) const;
     void tellBrokenOff(std::size_t router, const std::string &life);
     void report(std::size_t router, const std::string &life, std::vector<RequestFingerprint> underWay);
-    void decide(std::size_t router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay);
+    void decide(std::size_t router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay, Instant crash);
+    void tellAnswered(std::size_t number, const RequestFingerprint &fingerprint, Instant answered);
+    void tellAnsweredSince(std::size_t number, const std::vector<RequestFingerprint> &underWay, Instant crash);
     void tellOthers(std::size_t router, const std::function<void(Router &)> &notice);
     /// Each router reads the store's rows every two seconds, at a time of its own.
     void synchroniseRouters();
--- a/src/tests/poisonfleetpropertytest.cpp
+++ b/src/tests/poisonfleetpropertytest.cpp
@@ -72,6 +72,51 @@
     }
 }
 
+// Guards against a request that is answered all the time being held back for crashes whose reports came later than its answers.
+BOOST_AUTO_TEST_CASE(whatWasAnsweredBeforeACrashWasReported)
+{
+    for (const Day &day : {Day{.seed = 570720,
+                          .routers = 6,
+                          .targets = 4,
+                          .copyGap = 290,
+                          .otherCrashGap = 2000,
+                          .routerDeathGap = 15000,
+                          .lingering = 1000,
+                          .separateStreams = true},
+                           Day{.seed = 695685,
+                           .routers = 5,
+                           .targets = 5,
+                           .copyGap = 150,
+                           .otherCrashGap = 2000,
+                           .lostNotices = 20,
+                           .impatient = 30,
+                           .routerDeathGap = 4000,
+                           .lingering = 300,
+                           .separateStreams = true},
+                           Day{.seed = 300051,
+                           .routers = 8,
+                           .targets = 4,
+                           .copyGap = 276,
+                           .otherCrashGap = 2000,
+                           .lostNotices = 5,
+                           .impatient = 30,
+                           .routerDeathGap = 4000,
+                           .lingering = 1000,
+                           .separateStreams = true},
+                           Day{.seed = 359424,
+                           .routers = 8,
+                           .targets = 4,
+                           .copyGap = 621,
+                           .otherCrashGap = 2000,
+                           .lostNotices = 5,
+                           .impatient = 70,
+                           .routerDeathGap = 4000,
+                           .lingering = 1000,
+                           .separateStreams = true}}) {
+        checkDay(day);
+    }
+}
+
 // Nearly everything at once: most callers leave early, a fifth of the notices gets lost, ports close a second late, few targets crash of
 // something else every other second, and few routers die every few seconds with all that they suspect.
 BOOST_AUTO_TEST_CASE(nearlyEverythingAtOnce)
--- a/src/tests/quarantinetest.cpp
+++ b/src/tests/quarantinetest.cpp
@@ -107,6 +107,41 @@
     BOOST_TEST(!quarantine.acquit(request(0)));
 }
 
+// Guards against crashes that count although the request was answered after them, because the answer was there before the report.
+BOOST_AUTO_TEST_CASE(anAnswerBeforeTheReportOfACrashCounts)
+{
+    Quarantine quarantine;
+    const std::vector underWay{request(0)};
+    quarantine.answered(request(0), at(s_second));
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        BOOST_TEST(quarantine.crashed(target, underWay, at(2 * s_second), s_second + s_second / 2).empty());
+    }
+    BOOST_TEST(!quarantine.knows(request(0)));
+    BOOST_TEST((quarantine.answeredSince(request(0), at(s_second / 2)) == at(s_second)));
+    // Crashes after the answer count.
+    for (std::uint64_t target = 4; target <= 6; ++target) {
+        BOOST_TEST(!quarantine.answeredSince(request(0), at(s_second + s_second / 2)).has_value());
+        quarantine.crashed(target, underWay, at(2 * s_second), s_second / 2);
+    }
+    BOOST_TEST(quarantine.heldFor(request(0), at(2 * s_second)).has_value());
+}
+
+// Guards against a request that was answered lately being held back for long by one trial that fell on another crash.
+BOOST_AUTO_TEST_CASE(eachLateAnswerGrantsAnotherTrial)
+{
+    Quarantine quarantine;
+    quarantine.answered(request(0), at(-s_second));
+    quarantine.answered(request(0), at(-s_second / 2));
+    holdBack(quarantine);
+    for (const unsigned terms : {1U, 1U, 2U}) {
+        const Instant trial = quarantine.entries().at(request(0)).nextTrial;
+        quarantine.beginTrial(request(0), trial);
+        quarantine.crashed(100 + trial.time_since_epoch().count(), std::vector{request(0)}, trial + s_second / 5);
+        BOOST_TEST(quarantine.entries().at(request(0)).terms == terms);
+        BOOST_TEST((quarantine.heldFor(request(0), trial + s_second / 5) >= (terms == 1 ? s_second : Duration(std::chrono::minutes(10)))));
+    }
+}
+
 // A caller tries again twice while a poisonous request goes round, and its request is cut twice by chance. The poison is found; much later
 // an engine ends of something else under the same request. Its first two ends are explained, so it is not refused.
 BOOST_AUTO_TEST_CASE(whatThePoisonExplainsDoesNotCountAgainstOthers)
