What routers know of crashes and trials no longer ends with them

Change: a router that starts asks three peers what they know of crashes, by a call, and takes it like reports. A report of a crash at which the copy on trial was under way decides the trial at whichever router hears it, if the crash came after the trial began; notices carry the answers that grant further trials. The row in the store is moved to the next trial when one begins, by the router that begins it (not by others: a clock that stood still would prolong every row, as QuarantineKeeperTest/rowsAreBounded showed).

--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -133,6 +133,9 @@
         asio::co_spawn(m_executor, m_targets.run(), asio::detached);
         if (m_options.mechanisms.quarantine) {
             asio::co_spawn(m_executor, m_quarantine.run(), asio::detached);
+            if (!m_options.together) {
+                asio::co_spawn(m_executor, m_help.learnCrashes(), asio::detached);
+            }
         }
         asio::co_spawn(m_executor, expireTargets(), asio::detached);
         asio::co_spawn(m_executor, measureDelay(), asio::detached);
--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,9 @@
         Duration firstPlanPause = std::chrono::milliseconds(250);
         /// Peers asked for one loan. Each of a large fleet holds about as much as the next.
         std::size_t lendersAsked = 4;
+        /// Peers that a router asks, when it starts, what they know of crashes, and for how long it looks for them.
+        std::size_t crashPeersAsked = 3;
+        Duration longestCrashQuery = std::chrono::seconds(5);
         /// A peer that did not answer is not asked for a loan for this long: each such wait is a caller's.
         Duration silencePause = std::chrono::seconds(1);
     };
@@ -106,6 +110,20 @@
         }
     }
 
+    /// A router that starts asks some peers what they know of crashes: what it knew itself has ended with it.
+    asio::awaitable<void> learnCrashes()
+    {
+        std::size_t asked = 0;
+        while (asked < m_options.crashPeersAsked && steadyNow() < m_begun + m_options.longestCrashQuery) {
+            for (const std::string &peer : m_link.peers()) {
+                if (asked < m_options.crashPeersAsked && m_crashPeers.insert(peer).second) {
+                    asked += co_await askCrashes(peer) ? 1 : 0;
+                }
+            }
+            co_await pause(m_options.firstPlanPause);
+        }
+    }
+
 private:
     /// A loan that one peer was asked for.
     struct PendingLoan {
@@ -165,10 +183,33 @@
             givePiece(call.plan(), answer);
             co_return answer;
         }
+        if (call.has_crashes()) {
+            for (const CrashReport &report : m_gateway.guard().knownCrashes()) {
+                *answer.mutable_crashes()->add_crashes() = toWire(report);
+            }
+            answer.set_done(true);
+            co_return answer;
+        }
         answer = co_await m_store.carry(std::move(call));
         co_return answer;
     }
 
+    /// True when the peer answered.
+    asio::awaitable<bool> askCrashes(std::string peer)
+    {
+        wire::PeerCall call;
+        call.mutable_crashes();
+        const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.ask(peer, std::move(call), m_options.peerTimeout);
+        if (!answer.ok()) {
+            logLine(Severity::Info, "quarantine.peer_silent", {{"peer", peer}, {"detail", toFailure(answer.status()).detail}});
+            co_return false;
+        }
+        for (const wire::CrashNotice &notice : answer->crashes().crashes()) {
+            m_gateway.guard().peerSawCrash(fromWire(notice));
+        }
+        co_return true;
+    }
+
     /// Asks peers for tokens, one after the other, until there are enough. One that did not answer lately is left out.
     asio::awaitable<TeamLedger::Loan> borrow(std::string team, Tokens asked, std::vector<std::string> lenders)
     {
@@ -351,6 +392,9 @@
     Options m_options;
     /// Peers that did not answer a loan, and until when they are left alone.
     std::map<std::string, Instant> m_silentUntil;
+    /// Peers that were asked what they know of crashes.
+    std::set<std::string> m_crashPeers;
+    Instant m_begun = steadyNow();
     PlanSeeker m_seeker;
     PlanSource m_source;
     Patience m_piecePatience;
--- a/src/quarantine/crashwatch.cpp
+++ b/src/quarantine/crashwatch.cpp
@@ -115,6 +115,22 @@
     return recent ? underWay : std::vector<RequestFingerprint>();
 }
 
+std::vector<CrashWatch::BrokenOff> CrashWatch::undecided(Instant now) const
+{
+    std::vector<BrokenOff> all;
+    for (const auto &[incarnation, broken] : m_targets) {
+        if (!broken.crashed) {
+            all.push_back({.target = stableHash(incarnation), .underWay = broken.fingerprints, .since = broken.first});
+        }
+    }
+    for (const auto &[target, broken] : m_peers) {
+        if (!broken.crashed && now - broken.last <= s_peersMemory) {
+            all.push_back({.target = target, .underWay = broken.fingerprints, .since = broken.last});
+        }
+    }
+    return all;
+}
+
 Instant CrashWatch::brokenSince(const std::string &incarnation, Instant now) const
 {
     const auto found = m_targets.find(incarnation);
--- a/src/quarantine/crashwatch.h
+++ b/src/quarantine/crashwatch.h
@@ -52,6 +52,17 @@
     /// The target, named by the hash of its incarnation, has crashed, as this router or a peer saw. Returns what peers had under way there.
     std::vector<RequestFingerprint> takePeers(std::uint64_t target, Instant now);
 
+    /// What broke off at a target that may have crashed.
+    struct BrokenOff {
+        /// A hash of the target's incarnation.
+        std::uint64_t target = 0;
+        std::vector<RequestFingerprint> underWay;
+        Instant since{};
+    };
+
+    /// What broke off here and at peers, at targets of which it is not known yet whether they crashed, for a router that has just started.
+    std::vector<BrokenOff> undecided(Instant now) const;
+
     /// When the first of the attempts broke off whose target is being asked or has crashed: the time of its crash. `now` for another
     /// target.
     Instant brokenSince(const std::string &incarnation, Instant now) const;
--- a/src/quarantine/poisonguard.cpp
+++ b/src/quarantine/poisonguard.cpp
@@ -217,8 +217,11 @@
     const auto found = m_quarantine.entries().find(fingerprint);
     if (found != m_quarantine.entries().end()) {
         const Quarantine::Entry &entry = found->second;
-        m_tellChange(
-            {.fingerprint = fingerprint, .remaining = entry.nextTrial - steadyNow(), .terms = entry.terms, .trials = entry.trials});
+        m_tellChange({.fingerprint = fingerprint,
+                      .remaining = entry.nextTrial - steadyNow(),
+                      .terms = entry.terms,
+                      .trials = entry.trials,
+                      .answers = entry.answers});
     }
 }
 
@@ -233,8 +236,10 @@
     }
     for (const RequestFingerprint &fingerprint : fingerprints) {
         m_quarantine.beginTrial(fingerprint, now);
+        m_trialsBegun.insert(fingerprint);
         tell(fingerprint);
     }
+    m_decided.notify();
     logLine(Severity::Info, "request.on_trial", {{"fingerprint", fingerprints.front().text()}});
     return true;
 }
@@ -246,6 +251,19 @@
     }
 }
 
+std::vector<CrashReport> PoisonGuard::knownCrashes() const
+{
+    const Instant now = steadyNow();
+    std::vector<CrashReport> reports;
+    for (Quarantine::KnownCrash &crash : m_quarantine.knownCrashes()) {
+        reports.push_back({.target = crash.target, .underWay = std::move(crash.underWay), .ago = now - crash.at});
+    }
+    for (CrashWatch::BrokenOff &broken : m_watch.undecided(now)) {
+        reports.push_back({.target = broken.target, .underWay = std::move(broken.underWay), .crashed = false, .ago = now - broken.since});
+    }
+    return reports;
+}
+
 void PoisonGuard::peerSawCrash(const CrashReport &report)
 {
     constexpr std::string_view seenBy = "one that a peer saw crash";
@@ -275,7 +293,8 @@
     const Instant now = steadyNow();
     const bool lifts = change.terms == 0;
     const bool held = m_quarantine.entries().contains(change.fingerprint);
-    const Quarantine::Standing standing{.nextTrial = now + change.remaining, .terms = change.terms, .trials = change.trials};
+    const Quarantine::Standing standing{
+        .nextTrial = now + change.remaining, .terms = change.terms, .trials = change.trials, .answers = change.answers};
     const bool isNew = lifts ? m_quarantine.answered(change.fingerprint, now + std::min(change.remaining, Duration::zero()))
                              : m_quarantine.learn(change.fingerprint, standing, now);
     if (isNew) {
--- a/src/quarantine/poisonguard.h
+++ b/src/quarantine/poisonguard.h
@@ -38,6 +38,7 @@
     /// See Quarantine::Entry; 0: nothing speaks against it any more.
     unsigned terms = 0;
     unsigned trials = 0;
+    unsigned answers = 0;
 };
 
 /// Keeps requests that crash the targets they run on from reaching more of them.
@@ -83,6 +84,9 @@
     /// The copy on trial reached no target.
     void trialNotRun(const FingerprintPair &fingerprints);
 
+    /// What this router knows of crashes, for a peer that has just started.
+    std::vector<CrashReport> knownCrashes() const;
+
     /// A peer saw a target crash, or requests break off there.
     void peerSawCrash(const CrashReport &report);
 
@@ -107,6 +111,13 @@
         return m_acquitted;
     }
 
+    /// Requests whose trial began here, which the store has to be told: the trial may end with this router, and a router that starts later
+    /// would begin another one at once.
+    std::set<RequestFingerprint> &trialsBegun()
+    {
+        return m_trialsBegun;
+    }
+
     /// Something was decided here that the store should know.
     Signal &decided()
     {
@@ -134,6 +145,7 @@
     CrashWatch m_watch;
     Quarantine m_quarantine;
     std::set<RequestFingerprint> m_acquitted;
+    std::set<RequestFingerprint> m_trialsBegun;
     Signal m_decided;
     std::function<bool(const std::string &)> m_expectedToEnd;
     std::function<void(const CrashReport &)> m_tellCrash;
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -79,8 +79,9 @@
         if (const auto known = m_entries.find(fingerprint); known != m_entries.end()) {
             Entry &entry = known->second;
             addTarget(entry.targets, target);
-            // Copies that were under way when it was first held back change nothing; one on trial does.
-            if (entry.trialAt && now - *entry.trialAt <= s_trialTime) {
+            // Copies that were under way when it was first held back change nothing; one on trial does, on whichever router: the one that
+            // began the trial may have ended.
+            if (entry.trialAt && now - *entry.trialAt <= s_trialTime && now - ago >= *entry.trialAt) {
                 entry.trialAt.reset();
                 if (entry.trials <= extraTrials(entry)) {
                     entry.nextTrial = now + m_options.extraTrialPause;
@@ -163,10 +164,13 @@
     const bool longer = standing.terms > entry.terms;
     if (longer) {
         trialDecided(fingerprint);
+        entry.trialAt.reset();
     } else if (standing.terms == entry.terms && standing.trials > entry.trials) {
         m_onTrial = fingerprint;
         m_trialEnds = now + s_trialTime;
+        entry.trialAt = now;
     }
+    entry.answers = std::max(entry.answers, standing.answers);
     if (standing.terms >= entry.terms) {
         entry.nextTrial = std::max(entry.nextTrial, standing.nextTrial);
         entry.trials = std::max(entry.trials, standing.trials);
@@ -242,6 +246,25 @@
     entry.nextTrial = now + s_shortestWait;
 }
 
+std::vector<Quarantine::KnownCrash> Quarantine::knownCrashes() const
+{
+    std::map<std::uint64_t, KnownCrash> crashes;
+    for (const auto &[fingerprint, suspect] : m_suspects) {
+        for (const std::uint64_t target : suspect.targets) {
+            KnownCrash &crash = crashes[target];
+            crash.target = target;
+            crash.underWay.push_back(fingerprint);
+            crash.at = std::max(crash.at, suspect.last);
+        }
+    }
+    std::vector<KnownCrash> all;
+    all.reserve(crashes.size());
+    for (auto &[target, crash] : crashes) {
+        all.push_back(std::move(crash));
+    }
+    return all;
+}
+
 void Quarantine::expire(Instant now)
 {
     m_answers.expire(now);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -67,7 +67,7 @@
         bool stored = false;
         /// Answers to it, lately, when it was first held back.
         unsigned answers = 0;
-        /// Trials so far, on any router, and when this router's own began that is under way.
+        /// Trials so far, on any router, and when the last one began, as far as is known here, that is not decided.
         unsigned trials = 0;
         std::optional<Instant> trialAt;
     };
@@ -100,6 +100,7 @@
         Instant nextTrial{};
         unsigned terms = 1;
         unsigned trials = 0;
+        unsigned answers = 0;
     };
 
     /// A peer or the store holds a request back. True when that is new, or the request is held back for longer.
@@ -127,6 +128,18 @@
     /// How long until the next trial of a request that is held back, a second at least; none when it is not held back.
     std::optional<Duration> heldFor(const RequestFingerprint &fingerprint, Instant now) const;
 
+    /// A crash, and the requests that it speaks against.
+    struct KnownCrash {
+        /// A hash of the target's incarnation.
+        std::uint64_t target = 0;
+        std::vector<RequestFingerprint> underWay;
+        /// The last crash at which any of them was under way.
+        Instant at{};
+    };
+
+    /// The crashes that speak against requests which are not held back, for a router that has just started.
+    std::vector<KnownCrash> knownCrashes() const;
+
     /// Forgets what is long past. Call now and then.
     void expire(Instant now);
 
--- a/src/quarantine/quarantinekeeper.h
+++ b/src/quarantine/quarantinekeeper.h
@@ -69,7 +69,11 @@
         }
         const absl::StatusOr<RowVerdict> verdict = co_await m_store.transact(transaction);
         noteStore(verdict.ok());
-        co_return verdict.ok() && verdict->applied;
+        const bool applied = verdict.ok() && verdict->applied;
+        if (applied) {
+            m_guard.trialsBegun().clear();
+        }
+        co_return applied;
     }
 
 private:
@@ -140,6 +144,13 @@
         }
     }
 
+    /// True when a trial was decided since the row was written, or one has begun here. By the time of the next trial alone a router whose
+    /// clock stood still for a while would prolong every row.
+    static bool isNewer(const QuarantineRow &content, const QuarantineRow &row, bool trialBegun)
+    {
+        return content.terms > row.terms || (trialBegun && content.terms == row.terms && content.nextTrial > row.nextTrial);
+    }
+
     /// True for a row that nobody needs any more.
     static bool past(const QuarantineRow &row, StoreTimeMs storeTime)
     {
@@ -161,9 +172,10 @@
         const Instant now = steadyNow();
         for (const auto &[fingerprint, entry] : m_guard.quarantine().entries()) {
             const auto row = m_rows.find(fingerprint);
-            if (row == m_rows.end() || row->second.content.terms < entry.terms) {
-                const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(entry.nextTrial - now).count();
-                const QuarantineRow content{.nextTrial = read.storeTime + left, .terms = entry.terms};
+            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(entry.nextTrial - now).count();
+            const QuarantineRow content{.nextTrial = read.storeTime + left, .terms = entry.terms};
+            const bool begun = m_guard.trialsBegun().contains(fingerprint);
+            if (row == m_rows.end() || isNewer(content, row->second.content, begun)) {
                 change(fingerprint, row == m_rows.end() ? 0 : row->second.version, toText(content));
             }
         }
--- a/src/quarantine/quarantinenotice.cpp
+++ b/src/quarantine/quarantinenotice.cpp
@@ -25,6 +25,7 @@
     notice.set_remaining_ms(std::chrono::duration_cast<std::chrono::milliseconds>(change.remaining).count());
     notice.set_terms(change.terms);
     notice.set_trials(change.trials);
+    notice.set_answers(change.answers);
     return notice;
 }
 
@@ -54,7 +55,8 @@
     return QuarantineChange{.fingerprint = *fingerprint,
                             .remaining = Quarantine::boundedTerm(notice.remaining_ms()),
                             .terms = notice.terms(),
-                            .trials = notice.trials()};
+                            .trials = notice.trials(),
+                            .answers = notice.answers()};
 }
 
 }
--- a/src/tests/crashwatchtest.cpp
+++ b/src/tests/crashwatchtest.cpp
@@ -96,6 +96,21 @@
     BOOST_TEST(peer.alert(s_now));
 }
 
+// Guards against a router that starts knowing nothing of what broke off a moment ago.
+BOOST_AUTO_TEST_CASE(tellsARouterThatStartsWhatIsUndecided)
+{
+    CrashWatch watch;
+    watch.brokeOff("here", request("a"), s_now);
+    watch.peerBrokeOff(stableHash("elsewhere"), all({request("b")}), s_now);
+    watch.brokeOff("crashed", request("c"), s_now);
+    watch.refused("crashed", s_now);
+    const std::vector<CrashWatch::BrokenOff> undecided = watch.undecided(s_now + std::chrono::seconds(1));
+    BOOST_REQUIRE(undecided.size() == 2U);
+    BOOST_TEST(undecided.front().target == stableHash("here"));
+    BOOST_TEST((undecided.back().underWay == all({request("b")})));
+    BOOST_TEST(watch.undecided(s_now + std::chrono::seconds(10)).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(oldCrashesAreForgotten)
 {
     CrashWatch watch;
--- a/src/tests/poisonfleet.cpp
+++ b/src/tests/poisonfleet.cpp
@@ -20,6 +20,8 @@
 constexpr Millis s_firstRead = 50;
 constexpr Millis s_dayLength = 60'000;
 constexpr Millis s_askDelays[] = {0, 100, 500, 1500};
+/// Peers that a router asks, when it has started, what they know of crashes.
+constexpr std::size_t s_peersAsked = 3;
 /// Between the seeds of a day's streams, and between those of one stream's restarts.
 constexpr unsigned s_streamStep = 1'000'003;
 constexpr unsigned s_restartStep = 15'485'863;
@@ -31,7 +33,7 @@
 
 Quarantine::Standing standingOf(const Quarantine::Entry &entry)
 {
-    return {.nextTrial = entry.nextTrial, .terms = entry.terms, .trials = entry.trials};
+    return {.nextTrial = entry.nextTrial, .terms = entry.terms, .trials = entry.trials, .answers = entry.answers};
 }
 
 }
@@ -72,6 +74,7 @@
             m_routers[number].upSince = m_now;
             after(s_firstRead, [this, number] {
                 readStore(number);
+                askPeers(number);
             });
         });
     }
@@ -172,11 +175,21 @@
     }
     for (const RequestFingerprint &fingerprint : request) {
         quarantine.beginTrial(fingerprint, at(m_now));
+        noteTrial(number, fingerprint);
         tell(number, fingerprint);
     }
     return true;
 }
 
+void PoisonFleet::noteTrial(std::size_t number, const RequestFingerprint &fingerprint)
+{
+    const Quarantine::Entries &entries = m_routers[number].quarantine.entries();
+    const auto row = m_rows.find(fingerprint);
+    if (const auto entry = entries.find(fingerprint); entry != entries.end() && row != m_rows.end()) {
+        row->second.nextTrial = std::max(row->second.nextTrial, entry->second.nextTrial);
+    }
+}
+
 void PoisonFleet::tell(std::size_t number, const RequestFingerprint &fingerprint)
 {
     const auto found = m_routers[number].quarantine.entries().find(fingerprint);
@@ -313,20 +326,49 @@
     const std::vector<RequestFingerprint> untold = m_routers[router].watch.takeUntold(life);
     const Instant crash = m_routers[router].watch.brokenSince(life, at(m_now));
     tellOthers(router, [this, target = stableHash(life), untold, crash](Router &other) {
-        decide(numberOf(other), target, other.watch.peerBrokeOff(target, untold, at(m_now)), crash);
+        takeBrokenOff(other, target, untold, crash);
     });
 }
 
+void PoisonFleet::askPeers(std::size_t number)
+{
+    for (std::size_t asked = 1; asked <= std::min(s_peersAsked, m_routers.size() - 1); ++asked) {
+        const std::size_t peer = (number + asked) % m_routers.size();
+        sendTo(peer, [this, number](Router &other) {
+            for (const Quarantine::KnownCrash &crash : other.quarantine.knownCrashes()) {
+                sendTo(number, [this, crash](Router &asker) {
+                    takeReport(asker, crash.target, crash.underWay, crash.at);
+                });
+            }
+            for (const CrashWatch::BrokenOff &broken : other.watch.undecided(at(m_now))) {
+                sendTo(number, [this, broken](Router &asker) {
+                    takeBrokenOff(asker, broken.target, broken.underWay, broken.since);
+                });
+            }
+        });
+    }
+}
+
+void PoisonFleet::takeReport(Router &router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay, Instant crash)
+{
+    const std::size_t number = numberOf(router);
+    decide(number, target, router.watch.crashedElsewhere(target, at(m_now)), crash);
+    decide(number, target, router.watch.takePeers(target, at(m_now)), crash);
+    tellAnsweredSince(number, underWay, crash);
+    router.quarantine.crashed(target, underWay, at(m_now), at(m_now) - crash);
+}
+
+void PoisonFleet::takeBrokenOff(Router &router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay, Instant since)
+{
+    decide(numberOf(router), target, router.watch.peerBrokeOff(target, underWay, at(m_now)), since);
+}
+
 void PoisonFleet::report(std::size_t router, const std::string &life, std::vector<RequestFingerprint> underWay)
 {
     const std::uint64_t target = stableHash(life);
     const Instant crash = m_routers[router].watch.brokenSince(life, at(m_now));
     tellOthers(router, [this, target, underWay, crash](Router &other) {
-        const std::size_t number = numberOf(other);
-        decide(number, target, other.watch.crashedElsewhere(target, at(m_now)), crash);
-        decide(number, target, other.watch.takePeers(target, at(m_now)), crash);
-        tellAnsweredSince(number, underWay, crash);
-        other.quarantine.crashed(target, underWay, at(m_now), at(m_now) - crash);
+        takeReport(other, target, underWay, crash);
     });
     const std::vector<RequestFingerprint> peers = m_routers[router].watch.takePeers(target, at(m_now));
     underWay.insert(underWay.end(), peers.begin(), peers.end());
@@ -354,14 +396,21 @@
 void PoisonFleet::tellOthers(std::size_t router, const std::function<void(Router &)> &notice)
 {
     for (std::size_t other = 0; other < m_routers.size(); ++other) {
-        if (other != router && draw(Stream::Losses, 100) >= m_day.lostNotices) {
-            after(static_cast<Millis>(draw(Stream::Delays, 30)) + 1, [this, other, notice] {
-                notice(m_routers[other]);
-            });
+        if (other != router) {
+            sendTo(other, notice);
         }
     }
 }
 
+void PoisonFleet::sendTo(std::size_t router, const std::function<void(Router &)> &notice)
+{
+    if (draw(Stream::Losses, 100) >= m_day.lostNotices) {
+        after(static_cast<Millis>(draw(Stream::Delays, 30)) + 1, [this, router, notice] {
+            notice(m_routers[router]);
+        });
+    }
+}
+
 void PoisonFleet::synchroniseRouters()
 {
     for (std::size_t number = 0; number < m_routers.size(); ++number) {
@@ -401,7 +450,10 @@
         quarantine.setStored(fingerprint);
     }
     for (const auto &[fingerprint, entry] : quarantine.entries()) {
-        m_rows.try_emplace(fingerprint, entry);
+        const auto [row, isNew] = m_rows.try_emplace(fingerprint, entry);
+        if (row->second.terms < entry.terms) {
+            row->second = entry;
+        }
     }
 }
 
--- a/src/tests/poisonfleet.h
+++ b/src/tests/poisonfleet.h
@@ -111,6 +111,8 @@
     static bool held(const Router &router, const FingerprintPair &request, Millis now);
     void arrive(const FingerprintPair &request, Stream stream);
     bool beginTrial(std::size_t number, const FingerprintPair &request);
+    /// The store is told when the next trial after this one is due.
+    void noteTrial(std::size_t number, const RequestFingerprint &fingerprint);
     void tell(std::size_t number, const RequestFingerprint &fingerprint);
     void noteRefusal(Stream stream);
     /// The caller has gone: the router breaks the request off, and the target has not noticed yet.
@@ -126,7 +128,12 @@
     void decide(std::size_t router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay, Instant crash);
     void tellAnswered(std::size_t number, const RequestFingerprint &fingerprint, Instant answered);
     void tellAnsweredSince(std::size_t number, const std::vector<RequestFingerprint> &underWay, Instant crash);
+    /// A router that has started asks peers what they know of crashes.
+    void askPeers(std::size_t number);
+    void takeReport(Router &router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay, Instant crash);
+    void takeBrokenOff(Router &router, std::uint64_t target, const std::vector<RequestFingerprint> &underWay, Instant since);
     void tellOthers(std::size_t router, const std::function<void(Router &)> &notice);
+    void sendTo(std::size_t router, const std::function<void(Router &)> &notice);
     /// Each router reads the store's rows every two seconds, at a time of its own.
     void synchroniseRouters();
     void synchronise(std::size_t number);
--- a/src/tests/poisonfleetpropertytest.cpp
+++ b/src/tests/poisonfleetpropertytest.cpp
@@ -117,6 +117,47 @@
     }
 }
 
+// Guards against what is known of crashes ending with the few routers that know it, one after the other.
+BOOST_AUTO_TEST_CASE(routersThatStartLearnWhatOthersKnow)
+{
+    for (const Day &day : {Day{.seed = 929601,
+                          .routers = 2,
+                          .targets = 7,
+                          .copyGap = 638,
+                          .otherCrashGap = 8000,
+                          .routerDeathGap = 15000,
+                          .lingering = 1000,
+                          .separateStreams = true},
+                           Day{.seed = 344293,
+                           .routers = 2,
+                           .targets = 7,
+                           .copyGap = 512,
+                           .otherCrashGap = 8000,
+                           .impatient = 30,
+                           .routerDeathGap = 4000,
+                           .lingering = 1000,
+                           .separateStreams = true},
+                           Day{.seed = 286944,
+                           .routers = 3,
+                           .targets = 6,
+                           .copyGap = 467,
+                           .otherCrashGap = 2000,
+                           .lostNotices = 20,
+                           .routerDeathGap = 4000,
+                           .lingering = 1000,
+                           .separateStreams = true},
+                           Day{.seed = 13859,
+                           .routers = 2,
+                           .targets = 4,
+                           .copyGap = 118,
+                           .otherCrashGap = 2000,
+                           .routerDeathGap = 4000,
+                           .lingering = 1000,
+                           .separateStreams = true}}) {
+        checkDay(day);
+    }
+}
+
 // Nearly everything at once: most callers leave early, a fifth of the notices gets lost, ports close a second late, few targets crash of
 // something else every other second, and few routers die every few seconds with all that they suspect.
 BOOST_AUTO_TEST_CASE(nearlyEverythingAtOnce)
@@ -243,3 +284,44 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(PoisonFleetRestTest)
+
+// Guards against all routers ending one after the other before any has seen a crash, and against the first trial of a request that nobody
+// had seen answered yet falling on another crash.
+BOOST_AUTO_TEST_CASE(whatNobodyKnows)
+{
+    for (const Day &day : {Day{.seed = 786123,
+                          .routers = 3,
+                          .targets = 4,
+                          .copyGap = 138,
+                          .otherCrashGap = 2000,
+                          .lostNotices = 20,
+                          .impatient = 30,
+                          .routerDeathGap = 4000,
+                          .lingering = 1000,
+                          .separateStreams = true},
+                           Day{.seed = 312751,
+                           .routers = 3,
+                           .targets = 6,
+                           .copyGap = 108,
+                           .otherCrashGap = 8000,
+                           .lostNotices = 20,
+                           .routerDeathGap = 4000,
+                           .lingering = 300,
+                           .separateStreams = true},
+                           Day{.seed = 424945,
+                           .routers = 8,
+                           .targets = 7,
+                           .copyGap = 493,
+                           .otherCrashGap = 2000,
+                           .lostNotices = 20,
+                           .impatient = 30,
+                           .routerDeathGap = 4000,
+                           .lingering = 1000,
+                           .separateStreams = true}}) {
+        checkDay(day);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/quarantinekeepertest.cpp
+++ b/src/tests/quarantinekeepertest.cpp
@@ -191,6 +191,26 @@
     BOOST_TEST((router.guard.heldFor(pair("far")) <= std::chrono::hours(24)));
 }
 
+// Guards against a second trial, a moment after the first, by a router that starts when the one that began the first has ended.
+BOOST_AUTO_TEST_CASE(theStoreKnowsOfATrialThatBegan)
+{
+    SharedRows rows;
+    Router first(rows);
+    first.crashThree(request("poison"));
+    first.synchronise();
+    const StoreTimeMs before = quarantineRowFrom(rows.rows.read("quarantine", "", rows.now).rows.front().value)->nextTrial;
+    first.guard.quarantine().beginTrial(request("poison"), steadyNow() + std::chrono::seconds(4));
+    first.synchronise();
+    BOOST_TEST(quarantineRowFrom(rows.rows.read("quarantine", "", rows.now).rows.front().value)->nextTrial == before);
+    first.guard.trialsBegun().insert(request("poison"));
+    first.synchronise();
+    BOOST_TEST(quarantineRowFrom(rows.rows.read("quarantine", "", rows.now).rows.front().value)->nextTrial > before + 2000);
+    Router second(rows);
+    second.synchronise();
+    BOOST_TEST((second.guard.heldFor(pair("poison")) > std::chrono::seconds(5)));
+    BOOST_TEST(first.guard.trialsBegun().empty());
+}
+
 // Many different poisonous requests in a day: the store keeps no more of them than a router does.
 BOOST_AUTO_TEST_CASE(rowsAreBounded)
 {
--- a/src/tests/quarantinetest.cpp
+++ b/src/tests/quarantinetest.cpp
@@ -236,6 +236,38 @@
     }
 }
 
+// Guards against a trial that comes to nothing because the router that began it ended before its target was known to have crashed.
+BOOST_AUTO_TEST_CASE(aPeersTrialIsDecidedByAnyReport)
+{
+    Quarantine quarantine;
+    holdBack(quarantine);
+    const Instant trial = at(4 * s_second);
+    quarantine.learn(request(0), {.nextTrial = trial + Quarantine::s_trialTime, .terms = 1, .trials = 1}, trial);
+    // A crash before the trial began, reported late.
+    quarantine.crashed(100, std::vector{request(0)}, trial + s_second, s_second + s_second / 2);
+    BOOST_TEST(quarantine.entries().at(request(0)).terms == 1U);
+    quarantine.crashed(101, std::vector{request(0)}, trial + s_second, s_second / 2);
+    BOOST_TEST(quarantine.entries().at(request(0)).terms == 2U);
+    // The peer lives after all, and says the same.
+    BOOST_TEST(!quarantine.learn(request(0), {.nextTrial = trial + std::chrono::minutes(10), .terms = 2, .trials = 1}, trial));
+    quarantine.crashed(101, std::vector{request(0)}, trial + s_second, s_second / 2);
+    BOOST_TEST(quarantine.entries().at(request(0)).terms == 2U);
+}
+
+// Guards against a router that starts knowing nothing of the crashes which it saw before it ended.
+BOOST_AUTO_TEST_CASE(aRouterThatStartsLearnsOfCrashes)
+{
+    Quarantine peer;
+    peer.crashed(1, std::vector{request(0), request(1)}, at({}));
+    peer.crashed(2, std::vector{request(0)}, at(s_second));
+    Quarantine started;
+    for (const Quarantine::KnownCrash &crash : peer.knownCrashes()) {
+        started.crashed(crash.target, crash.underWay, at(2 * s_second), at(2 * s_second) - crash.at);
+    }
+    BOOST_TEST(started.suspects() == 2U);
+    BOOST_TEST(started.crashed(3, std::vector{request(0), request(1)}, at(2 * s_second)).size() == 1U);
+}
+
 // A copy that was under way when its like was first held back crashes its target too: that is no reason for a longer term.
 BOOST_AUTO_TEST_CASE(copiesAlreadyUnderWayChangeNothing)
 {
