A request whose caller has gone is not sent, whatever the loop has heard of it

The host was late by a second with everything.

A loop without time gets to the caller's end later than to the connection; and a call that must not run twice is not cancelled by it at all, so that one whose caller leaves in between is sent for nobody.

Change: the connection to the caller is looked at in the kernel right before the send (HttpCallOptions::wanted).

Measured: HttpClientTest (new; there was nothing to ask before).

--- a/src/gateway/requestrun.cpp
+++ b/src/gateway/requestrun.cpp
@@ -269,7 +269,7 @@
     return firstByteLimit(*m_route, m_deadline - now, another);
 }
 
-HttpCallOptions RequestRun::callOptions(const Placement &placement, Instant now) const
+HttpCallOptions RequestRun::callOptions(const Placement &placement, Instant now)
 {
     const HttpRequest &request = m_exchange.request();
     DispatchTerms terms{.incarnation = placement.name, .team = m_team, .timeLeft = m_deadline - now, .priority = m_priority};
@@ -285,6 +285,11 @@
                             .timeout = firstByteTime(now),
                             .connectTimeout = s_connectTimeout,
                             .sendBefore = placement.sendBefore};
+    // A loop that is late hears of a caller's end long after the kernel did, and a call that must not run twice is not cancelled by it.
+    options.wanted = [this] {
+        m_callerLeft = m_callerLeft || m_exchange.hungUp();
+        return !m_callerLeft;
+    };
     options.belongs = [this](const http::fields &fields) {
         const AnswerTerms answer = m_gateway.m_options.codec.readAnswer(s_firstSuccess, fields);
         return answer.requestId.empty() || answer.requestId == m_terms.requestId;
@@ -294,12 +299,12 @@
 
 AttemptEnd RequestRun::endOf(const absl::Status &status) const
 {
-    if (m_callerLeft) {
-        return AttemptEnd::CallerLeft;
-    }
     if (toFailure(status).ran == Ran::No) {
         return AttemptEnd::NotRun;
     }
+    if (m_callerLeft) {
+        return AttemptEnd::CallerLeft;
+    }
     return steadyNow() >= m_deadline ? AttemptEnd::TimedOut : AttemptEnd::Broken;
 }
 
--- a/src/gateway/requestrun.h
+++ b/src/gateway/requestrun.h
@@ -63,7 +63,7 @@
     AttemptEnd endOf(const absl::Status &status) const;
     AttemptEnd answerBrokeOff(const absl::Status &status);
     bool mayTryAgain(AttemptEnd end, Instant now);
-    HttpCallOptions callOptions(const Placement &placement, Instant now) const;
+    HttpCallOptions callOptions(const Placement &placement, Instant now);
     Duration firstByteTime(Instant now) const;
     void noteAttemptEnd(AttemptEnd end);
     void noteFirstByte();
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -221,6 +221,9 @@
     if (m_options.sendBefore && steadyNow() >= *m_options.sendBefore) {
         co_return failed(FailureKind::Cancelled, "its time to be sent is over", Ran::No);
     }
+    if (m_options.wanted && !m_options.wanted()) {
+        co_return failed(FailureKind::Cancelled, "nobody waits for it any more", Ran::No);
+    }
     const std::shared_ptr<HttpRequest> request = makeRequest(m_options, m_client.m_endpoint);
     m_connection->stream.expires_after(m_options.timeout);
     if (request->body().size() > s_writeAsideBytes) {
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -44,6 +44,8 @@
     Duration connectTimeout = std::chrono::seconds(10);
     /// The request is not sent any more from then on, and has not run.
     std::optional<Instant> sendBefore;
+    /// Asked right before the request is sent; false: it is not sent, and has not run. Empty: it is sent.
+    std::function<bool()> wanted;
     /// The longest body that the caller wants; a longer one, by the head's word, is left untaken, and its connection is closed. 0: any.
     std::uint64_t mostBodyBytes = 0;
     /// Tells whether an answer's head belongs to this request; empty: every answer does. Some peers send an answer twice, and the second
--- /dev/null
+++ b/src/tests/httpclienttest.cpp
@@ -0,0 +1,39 @@
+#include "net/httpclient.h"
+#include "net/endpoint.h"
+#include "scriptedpeer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bamboohold;
+
+BOOST_AUTO_TEST_SUITE(HttpClientTest)
+
+// Guards against a request being sent although its caller closed the connection while the call was still to be made.
+BOOST_AUTO_TEST_CASE(whatNobodyWaitsForIsNotSent)
+{
+    WorkerPool pool(1);
+    ScriptedPeer peer(pool, {{.bytes = wholeAnswer(200, "", "{}")}});
+    HttpClient client(pool.mainLoop().get_executor(), *endpointFrom(peer.address()));
+    const auto callWith = [&](bool wanted) {
+        HttpStreamCall call(client, {.wanted = [wanted] {
+                                return wanted;
+                            }});
+        absl::Status started;
+        asio::co_spawn(pool.mainLoop(), call.start(), [&](const std::exception_ptr &, absl::Status status) {
+            started = std::move(status);
+            pool.stop();
+        });
+        pool.run();
+        pool.mainLoop().restart();
+        return started;
+    };
+    const absl::Status left = callWith(false);
+    BOOST_TEST(!left.ok());
+    BOOST_TEST((toFailure(left).kind == FailureKind::Cancelled));
+    BOOST_TEST((toFailure(left).ran == Ran::No));
+    BOOST_TEST(callWith(true).ok());
+    BOOST_TEST(peer.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
