Tests that listen do so on an address of their process

What developers saw: two runs of bamboohold-tests at once on one machine fail: AdmissionFleetTest, PeerHelpTest and PoisonRequestTest at once (loadServer.open(), link.open()), since their addresses are fixed.

--- a/src/tests/admissionfleettest.cpp
+++ b/src/tests/admissionfleettest.cpp
@@ -1,5 +1,6 @@
 #include "clock/steadytime.h"
 #include "net/pause.h"
+#include "ownaddress.h"
 #include "routing/limitadmissions.h"
 #include "routing/loadserver.h"
 #include "tests/gatewayscene.h"
@@ -28,7 +29,7 @@
 
 std::string loadAddress(std::size_t router)
 {
-    return absl::StrCat("127.0.0.1:", s_firstLoadPort + router);
+    return absl::StrCat(ownAddress(), ":", s_firstLoadPort + router);
 }
 
 /// A router that answers the others' questions about targets without relays.
@@ -37,10 +38,10 @@
         : ledger(pool.mainLoop().get_executor(), {.holder = loadAddress(number), .incarnation = loadAddress(number) + "~1"})
         , gateway(pool.mainLoop().get_executor(), options(number), ledger, metrics)
         , loadServer(pool.mainLoop().get_executor(),
-                     {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(s_firstLoadPort + number)})
-        , loads(pool.mainLoop().get_executor(), {.incarnation = loadAddress(number) + "~1", .address = "127.0.0.1"})
+                     {asio::ip::make_address(ownAddress()), static_cast<std::uint16_t>(s_firstLoadPort + number)})
+        , loads(pool.mainLoop().get_executor(), {.incarnation = loadAddress(number) + "~1", .address = ownAddress()})
         , server(pool,
-                 {.address = "127.0.0.1", .port = static_cast<std::uint16_t>(s_firstCallerPort + number), .exclusive = true},
+                 {.address = ownAddress(), .port = static_cast<std::uint16_t>(s_firstCallerPort + number), .exclusive = true},
                  [this](HttpExchange &exchange) {
                      return gateway.handle(exchange);
                  })
@@ -105,7 +106,8 @@
     asio::awaitable<bool> serves(std::size_t router)
     {
         asio::ip::tcp::socket socket(m_pool.mainLoop());
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(s_firstCallerPort + router));
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(ownAddress()),
+                                               static_cast<std::uint16_t>(s_firstCallerPort + router));
         co_await socket.async_connect(endpoint, s_tuple);
         const std::string bytes = request("/once/");
         co_await asio::async_write(socket, asio::buffer(bytes), s_tuple);
--- a/src/tests/gatewayscene.cpp
+++ b/src/tests/gatewayscene.cpp
@@ -2,6 +2,7 @@
 
 #include "clock/steadytime.h"
 #include "net/pause.h"
+#include "ownaddress.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
@@ -12,22 +13,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <unistd.h>
-
 namespace bamboohold {
 
 namespace {
 
 constexpr auto s_tuple = asio::as_tuple(asio::use_awaitable);
 
-/// A loopback address for each process: suites that run at the same time listen on the same port.
-std::string ownAddress()
-{
-    constexpr unsigned byte = 256;
-    const auto process = static_cast<unsigned>(::getpid());
-    return absl::StrCat("127.", 64 + process / byte / byte % 64, ".", process / byte % byte, ".", process % byte);
-}
-
 }
 
 CallerCodec testCodec()
--- a/src/tests/httpservertest.cpp
+++ b/src/tests/httpservertest.cpp
@@ -1,4 +1,5 @@
 #include "net/httpserver.h"
+#include "ownaddress.h"
 
 #include "net/workerpool.h"
 
@@ -21,7 +22,7 @@
     constexpr std::size_t s_turns = 10;
     WorkerPool pool(1);
     HttpServer server(
-        pool, {.address = "127.0.0.1", .port = s_port, .exclusive = true}, [](HttpExchange &exchange) -> asio::awaitable<void> {
+        pool, {.address = ownAddress(), .port = s_port, .exclusive = true}, [](HttpExchange &exchange) -> asio::awaitable<void> {
             std::string body;
             co_await exchange.respond(200, "text/plain", std::move(body));
         });
@@ -30,7 +31,7 @@
     std::vector<asio::ip::tcp::socket> connections;
     for (std::size_t caller = 0; caller < s_callers; ++caller) {
         connections.emplace_back(callers);
-        connections.back().connect({asio::ip::make_address("127.0.0.1"), s_port});
+        connections.back().connect({asio::ip::make_address(ownAddress()), s_port});
     }
     for (std::size_t turn = 0; turn < s_turns; ++turn) {
         pool.mainLoop().poll_one();
--- a/src/tests/peerhelptest.cpp
+++ b/src/tests/peerhelptest.cpp
@@ -1,4 +1,5 @@
 #include "gateway/peerhelp.h"
+#include "ownaddress.h"
 
 #include "store/memoryrows.h"
 
@@ -24,7 +25,7 @@
 
 std::string linkAddress(int number)
 {
-    return absl::StrCat("127.0.0.1:", s_firstPort + number);
+    return absl::StrCat(ownAddress(), ":", s_firstPort + number);
 }
 
 /// The store is out of reach all the while.
--- a/src/tests/poisonrequesttest.cpp
+++ b/src/tests/poisonrequesttest.cpp
@@ -1,4 +1,5 @@
 #include "gateway/peerhelp.h"
+#include "ownaddress.h"
 
 #include "net/pause.h"
 #include "tests/gatewayscene.h"
@@ -35,7 +36,7 @@
 
 std::string linkAddress(std::size_t router)
 {
-    return absl::StrCat("127.0.0.1:", s_firstLinkPort + router);
+    return absl::StrCat(ownAddress(), ":", s_firstLinkPort + router);
 }
 
 std::shared_ptr<const RoutingPlan> draftingPlan()
@@ -72,7 +73,7 @@
         , evacuations(gateway.board(), metrics, {})
         , help(link, relayed, ledger, gateway, evacuations, [](const std::string &) {})
         , server(pool,
-                 {.address = "127.0.0.1", .port = static_cast<std::uint16_t>(s_firstCallerPort + number), .exclusive = true},
+                 {.address = ownAddress(), .port = static_cast<std::uint16_t>(s_firstCallerPort + number), .exclusive = true},
                  [this](HttpExchange &exchange) {
                      return gateway.handle(exchange);
                  })
@@ -137,7 +138,8 @@
     asio::awaitable<std::string> send(std::size_t router, std::string request)
     {
         asio::ip::tcp::socket socket(m_pool.mainLoop());
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(s_firstCallerPort + router));
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(ownAddress()),
+                                               static_cast<std::uint16_t>(s_firstCallerPort + router));
         co_await socket.async_connect(endpoint, s_tuple);
         co_await asio::async_write(socket, asio::buffer(request), s_tuple);
         std::string answer;
