A router that starts asks few peers what they know of crashes, each router other ones

Change: nine peers at the most, the next ones by address from the router's own on.

Measured: PoisonRequestTest/aRouterThatStartsAsksItsPeers, new, with running routers: the third one knows the suspect after the call, and holds it back at the third crash.

--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -47,8 +47,10 @@
         Duration firstPlanPause = std::chrono::milliseconds(250);
         /// Peers asked for one loan. Each of a large fleet holds about as much as the next.
         std::size_t lendersAsked = 4;
-        /// Peers that a router asks, when it starts, what they know of crashes, and for how long it looks for them.
-        std::size_t crashPeersAsked = 3;
+        /// Peers that tell a router, when it starts, what they know of crashes; how many it asks for that at the most, as many may have
+        /// started with it, and for how long it looks for them.
+        std::size_t crashAnswers = 3;
+        std::size_t mostCrashQueries = 9;
         Duration longestCrashQuery = std::chrono::seconds(5);
         /// A peer that did not answer is not asked for a loan for this long: each such wait is a caller's.
         Duration silencePause = std::chrono::seconds(1);
@@ -113,18 +115,34 @@
     /// A router that starts asks some peers what they know of crashes: what it knew itself has ended with it.
     asio::awaitable<void> learnCrashes()
     {
-        std::size_t asked = 0;
-        while (asked < m_options.crashPeersAsked && steadyNow() < m_begun + m_options.longestCrashQuery) {
-            for (const std::string &peer : m_link.peers()) {
-                if (asked < m_options.crashPeersAsked && m_crashPeers.insert(peer).second) {
-                    asked += co_await askCrashes(peer) ? 1 : 0;
-                }
+        const Instant begun = steadyNow();
+        std::size_t answers = 0;
+        std::set<std::string> asked;
+        while (answers < m_options.crashAnswers && asked.size() < m_options.mostCrashQueries
+               && steadyNow() < begun + m_options.longestCrashQuery) {
+            const std::optional<std::string> peer = nextPeer(asked);
+            if (!peer) {
+                co_await pause(m_options.firstPlanPause);
+                continue;
             }
-            co_await pause(m_options.firstPlanPause);
+            asked.insert(*peer);
+            const bool answered = co_await askCrashes(*peer);
+            answers += answered ? 1 : 0;
         }
     }
 
 private:
+    /// A peer that was not asked yet: the next ones by address, so that routers which start together ask different ones.
+    std::optional<std::string> nextPeer(const std::set<std::string> &asked) const
+    {
+        std::vector<std::string> peers = m_link.peers();
+        std::ranges::rotate(peers, std::ranges::upper_bound(peers, m_link.self()));
+        const auto next = std::ranges::find_if(peers, [&](const std::string &peer) {
+            return !asked.contains(peer);
+        });
+        return next != peers.end() ? std::optional(*next) : std::nullopt;
+    }
+
     /// A loan that one peer was asked for.
     struct PendingLoan {
         PendingLoan(const asio::any_io_executor &executor, std::string ofTeam, Tokens tokens)
@@ -392,9 +410,6 @@
     Options m_options;
     /// Peers that did not answer a loan, and until when they are left alone.
     std::map<std::string, Instant> m_silentUntil;
-    /// Peers that were asked what they know of crashes.
-    std::set<std::string> m_crashPeers;
-    Instant m_begun = steadyNow();
     PlanSeeker m_seeker;
     PlanSource m_source;
     Patience m_piecePatience;
--- a/src/tests/poisonrequesttest.cpp
+++ b/src/tests/poisonrequesttest.cpp
@@ -119,11 +119,26 @@
             m_routers.push_back(std::make_unique<RouterUnderTest>(m_pool, number, m_rows));
             m_routers.back()->gateway.board().setAll(listings(), Instant{});
         }
-        for (const auto &router : m_routers) {
-            router->link.setPeers({linkAddress(0), linkAddress(1), linkAddress(2)});
+        linkRouters(s_routers);
+    }
+
+    /// The first ones of the routers hear of each other, the others hear of nobody.
+    void linkRouters(std::size_t linked)
+    {
+        std::vector<std::string> peers;
+        for (std::size_t number = 0; number < linked; ++number) {
+            peers.push_back(linkAddress(number));
+        }
+        for (std::size_t number = 0; number < s_routers; ++number) {
+            m_routers[number]->link.setPeers(number < linked ? peers : std::vector<std::string>());
         }
     }
 
+    RouterUnderTest &router(std::size_t number)
+    {
+        return *m_routers[number];
+    }
+
     /// Runs the steps, which stand for what callers do, to their end.
     template<typename Steps>
     void play(Steps steps)
@@ -254,6 +269,30 @@
     BOOST_TEST(scene.crashed() == s_mostCrashed);
 }
 
+// Guards against a router that starts knowing nothing of the crashes that its peers saw before.
+BOOST_AUTO_TEST_CASE(aRouterThatStartsAsksItsPeers)
+{
+    Scene scene;
+    scene.linkRouters(2);
+    scene.play([&]() -> asio::awaitable<void> {
+        co_await pause(s_spreadTime);
+        for (std::size_t copy = 0; copy < 2; ++copy) {
+            co_await scene.send(copy, draftRequest(absl::StrCat("early-", copy), s_poison));
+        }
+        co_await pause(s_spreadTime);
+        BOOST_TEST(scene.crashed() == 2U);
+        Quarantine &started = scene.router(2).gateway.guard().quarantine();
+        BOOST_TEST(started.suspects() == 0U);
+        scene.linkRouters(s_routers);
+        co_await pause(s_spreadTime);
+        co_await scene.router(2).help.learnCrashes();
+        BOOST_TEST(started.suspects() > 0U);
+        co_await scene.send(2, draftRequest("third", s_poison));
+        co_await pause(s_spreadTime);
+        BOOST_TEST(!started.entries().empty());
+    });
+}
+
 // The same with targets whose connections close some time before their port does, as when the system takes connections until a crashed
 // process is cleared away. A router that asked once, at once, was told that the target lives, and held nothing against the request.
 BOOST_AUTO_TEST_CASE(aTargetMayRefuseConnectionsOnlyAfterAWhile)
