Answers are told once for a crash, and a report leaves out what its router answered since

What callers would see at the target's size: nothing at once, but a storm between routers.

Change: a router leaves out of its report what it answered since the crash itself, and tells of an answer of its own once for a crash (AnswerMemory::takeUntold). A crash then costs at the most one message from each router that answered a request which the reporter did not.

Tried and not kept: not telling what a peer told already.

--- a/src/quarantine/answermemory.cpp
+++ b/src/quarantine/answermemory.cpp
@@ -17,6 +17,13 @@
 }
 
 void AnswerMemory::note(const RequestFingerprint &fingerprint, Instant at)
+{
+    noteElsewhere(fingerprint, at);
+    Answers &answers = m_answers[fingerprint];
+    answers.here = std::max(answers.here, at);
+}
+
+void AnswerMemory::noteElsewhere(const RequestFingerprint &fingerprint, Instant at)
 {
     if (m_answers.size() >= m_options.most && !m_answers.contains(fingerprint)) {
         dropOldestQuarter(m_answers, [](const Answers &answers) {
@@ -28,6 +35,16 @@
     answers.last = std::max(answers.last, at);
 }
 
+std::optional<Instant> AnswerMemory::takeUntold(const RequestFingerprint &fingerprint, Instant crash)
+{
+    const auto found = m_answers.find(fingerprint);
+    if (found == m_answers.end() || found->second.here <= crash || found->second.told > crash) {
+        return std::nullopt;
+    }
+    found->second.told = found->second.here;
+    return found->second.here;
+}
+
 std::optional<Instant> AnswerMemory::lastAnswer(const RequestFingerprint &fingerprint) const
 {
     const auto found = m_answers.find(fingerprint);
--- a/src/quarantine/answermemory.h
+++ b/src/quarantine/answermemory.h
@@ -26,13 +26,19 @@
     AnswerMemory();
     explicit AnswerMemory(Options options);
 
-    /// The request was answered whole.
+    /// The request was answered whole here.
     void note(const RequestFingerprint &fingerprint, Instant at);
 
+    /// The request was answered whole by a peer, which tells of it.
+    void noteElsewhere(const RequestFingerprint &fingerprint, Instant at);
+
+    /// The last answer here, if it came after `crash` and the peers were told of none after that; from now on they were, by the caller.
+    std::optional<Instant> takeUntold(const RequestFingerprint &fingerprint, Instant crash);
+
     /// When the request was answered last; none when it was not, or that is forgotten.
     std::optional<Instant> lastAnswer(const RequestFingerprint &fingerprint) const;
 
-    /// Answers to the request, at most the ones within the memory before `now`.
+    /// Answers to the request, up to the last pause between two of them that was longer than the memory.
     unsigned answers(const RequestFingerprint &fingerprint, Instant now) const;
 
     /// Forgets what is long past. Call now and then.
@@ -41,6 +47,9 @@
 private:
     struct Answers {
         Instant last{};
+        /// The last one here, and the last one here that the peers were told of.
+        Instant here{};
+        Instant told{};
         unsigned count = 0;
     };
 
--- a/src/quarantine/poisonguard.cpp
+++ b/src/quarantine/poisonguard.cpp
@@ -123,6 +123,8 @@
 void PoisonGuard::tellBrokenOff(const std::string &incarnation)
 {
     std::vector<RequestFingerprint> untold = m_watch.takeUntold(incarnation);
+    const Instant since = m_watch.brokenSince(incarnation, steadyNow());
+    untold = m_quarantine.unanswered(untold, since);
     if (!untold.empty()) {
         m_tellCrash({.target = stableHash(incarnation), .underWay = std::move(untold), .crashed = false, .ago = sinceBroken(incarnation)});
     }
@@ -138,6 +140,7 @@
 {
     logLine(Severity::Warning, "target.crashed", {{"target", target}, {"under_way", static_cast<std::int64_t>(crash.underWay.size())}});
     m_metrics.count("crash_reports_total", {.name = "from", .value = "here"});
+    crash.underWay = m_quarantine.unanswered(crash.underWay, steadyNow() - crash.ago);
     m_tellCrash(crash);
     const std::vector<RequestFingerprint> peers = m_watch.takePeers(crash.target, steadyNow());
     crash.underWay.insert(crash.underWay.end(), peers.begin(), peers.end());
@@ -148,7 +151,7 @@
 {
     const Instant now = steadyNow();
     for (const RequestFingerprint &fingerprint : crash.underWay) {
-        if (const std::optional<Instant> answered = m_quarantine.answeredSince(fingerprint, now - crash.ago)) {
+        if (const std::optional<Instant> answered = m_quarantine.takeUntoldAnswer(fingerprint, now - crash.ago)) {
             m_tellChange({.fingerprint = fingerprint, .remaining = *answered - now});
         }
     }
@@ -295,7 +298,7 @@
     const bool held = m_quarantine.entries().contains(change.fingerprint);
     const Quarantine::Standing standing{
         .nextTrial = now + change.remaining, .terms = change.terms, .trials = change.trials, .answers = change.answers};
-    const bool isNew = lifts ? m_quarantine.answered(change.fingerprint, now + std::min(change.remaining, Duration::zero()))
+    const bool isNew = lifts ? m_quarantine.answeredElsewhere(change.fingerprint, now + std::min(change.remaining, Duration::zero()))
                              : m_quarantine.learn(change.fingerprint, standing, now);
     if (isNew) {
         count();
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -135,9 +135,28 @@
 bool Quarantine::answered(const RequestFingerprint &fingerprint, Instant at)
 {
     m_answers.note(fingerprint, at);
+    const bool spokeAgainst = acquit(fingerprint);
+    if (spokeAgainst) {
+        (void)m_answers.takeUntold(fingerprint, at - Duration(1));
+    }
+    return spokeAgainst;
+}
+
+bool Quarantine::answeredElsewhere(const RequestFingerprint &fingerprint, Instant at)
+{
+    m_answers.noteElsewhere(fingerprint, at);
     return acquit(fingerprint);
 }
 
+std::vector<RequestFingerprint> Quarantine::unanswered(std::span<const RequestFingerprint> underWay, Instant crash) const
+{
+    std::vector<RequestFingerprint> left(underWay.begin(), underWay.end());
+    std::erase_if(left, [&](const RequestFingerprint &fingerprint) {
+        return answeredSince(fingerprint, crash).has_value();
+    });
+    return left;
+}
+
 std::optional<Instant> Quarantine::answeredSince(const RequestFingerprint &fingerprint, Instant crash) const
 {
     const std::optional<Instant> last = m_answers.lastAnswer(fingerprint);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -85,13 +85,25 @@
     std::vector<RequestFingerprint>
     crashed(std::uint64_t target, std::span<const RequestFingerprint> underWay, Instant now, Duration ago = Duration::zero());
 
-    /// A request was answered whole at `at`, here or at a peer, whether anything speaks against it or not: reports of crashes before that
-    /// may still be on their way. True when anything spoke against it.
+    /// A request was answered whole here, whether anything speaks against it or not: reports of crashes before that may still be on their
+    /// way. True when anything spoke against it; the peers are to be told then.
     bool answered(const RequestFingerprint &fingerprint, Instant at);
 
+    /// A peer tells all others that it answered a request whole. True when anything spoke against it.
+    bool answeredElsewhere(const RequestFingerprint &fingerprint, Instant at);
+
     /// When the request was answered whole, if that was after `crash`.
     std::optional<Instant> answeredSince(const RequestFingerprint &fingerprint, Instant crash) const;
 
+    /// Those that were not answered since `crash`, as far as is known here: the ones that it speaks against.
+    std::vector<RequestFingerprint> unanswered(std::span<const RequestFingerprint> underWay, Instant crash) const;
+
+    /// An answer that the peers are to be told, as they blame the request for that crash; see AnswerMemory.
+    std::optional<Instant> takeUntoldAnswer(const RequestFingerprint &fingerprint, Instant crash)
+    {
+        return m_answers.takeUntold(fingerprint, crash);
+    }
+
     /// Takes all back that speaks against a request. True when there was anything.
     bool acquit(const RequestFingerprint &fingerprint);
 
--- a/src/tests/answermemorytest.cpp
+++ b/src/tests/answermemorytest.cpp
@@ -36,6 +36,24 @@
     BOOST_TEST(!memory.lastAnswer(request(0)).has_value());
 }
 
+// Guards against every router telling every other one of its answers, again for each report of the same crash.
+BOOST_AUTO_TEST_CASE(anAnswerIsToldOnceForACrash)
+{
+    const Instant crash = s_now - std::chrono::seconds(2);
+    AnswerMemory memory;
+    BOOST_TEST(!memory.takeUntold(request(0), crash).has_value());
+    memory.note(request(0), s_now - std::chrono::seconds(1));
+    BOOST_TEST((memory.takeUntold(request(0), crash) == s_now - std::chrono::seconds(1)));
+    BOOST_TEST(!memory.takeUntold(request(0), crash).has_value());
+    memory.note(request(0), s_now);
+    BOOST_TEST(!memory.takeUntold(request(0), crash).has_value());
+    // A later crash.
+    BOOST_TEST((memory.takeUntold(request(0), s_now - std::chrono::milliseconds(1)) == s_now));
+    memory.noteElsewhere(request(1), s_now);
+    BOOST_TEST(!memory.takeUntold(request(1), crash).has_value());
+    BOOST_TEST(memory.answers(request(1), s_now) == 1U);
+}
+
 // A router answers other requests all the time: its memory must not grow with them.
 BOOST_AUTO_TEST_CASE(memoryIsBounded)
 {
--- a/src/tests/poisonfleet.cpp
+++ b/src/tests/poisonfleet.cpp
@@ -259,7 +259,7 @@
 void PoisonFleet::tellAnswered(std::size_t number, const RequestFingerprint &fingerprint, Instant answered)
 {
     tellOthers(number, [fingerprint, answered](Router &other) {
-        other.quarantine.answered(fingerprint, answered);
+        other.quarantine.answeredElsewhere(fingerprint, answered);
     });
 }
 
@@ -323,8 +323,9 @@
 
 void PoisonFleet::tellBrokenOff(std::size_t router, const std::string &life)
 {
-    const std::vector<RequestFingerprint> untold = m_routers[router].watch.takeUntold(life);
-    const Instant crash = m_routers[router].watch.brokenSince(life, at(m_now));
+    Router &teller = m_routers[router];
+    const Instant crash = teller.watch.brokenSince(life, at(m_now));
+    const std::vector<RequestFingerprint> untold = teller.quarantine.unanswered(teller.watch.takeUntold(life), crash);
     tellOthers(router, [this, target = stableHash(life), untold, crash](Router &other) {
         takeBrokenOff(other, target, untold, crash);
     });
@@ -367,6 +368,7 @@
 {
     const std::uint64_t target = stableHash(life);
     const Instant crash = m_routers[router].watch.brokenSince(life, at(m_now));
+    underWay = m_routers[router].quarantine.unanswered(underWay, crash);
     tellOthers(router, [this, target, underWay, crash](Router &other) {
         takeReport(other, target, underWay, crash);
     });
@@ -378,7 +380,7 @@
 void PoisonFleet::tellAnsweredSince(std::size_t number, const std::vector<RequestFingerprint> &underWay, Instant crash)
 {
     for (const RequestFingerprint &fingerprint : underWay) {
-        if (const std::optional<Instant> answered = m_routers[number].quarantine.answeredSince(fingerprint, crash)) {
+        if (const std::optional<Instant> answered = m_routers[number].quarantine.takeUntoldAnswer(fingerprint, crash)) {
             tellAnswered(number, fingerprint, *answered);
         }
     }
