The next peer to ask is found with std::rotate: the linter cannot read the ranges form

Change: the iterator form, which does the same. Measured: the linter over all changed sources is clean; PeerHelp and PoisonRequest tests pass.

--- a/src/gateway/peerhelp.h
+++ b/src/gateway/peerhelp.h
@@ -136,7 +136,7 @@
     std::optional<std::string> nextPeer(const std::set<std::string> &asked) const
     {
         std::vector<std::string> peers = m_link.peers();
-        std::ranges::rotate(peers, std::ranges::upper_bound(peers, m_link.self()));
+        std::rotate(peers.begin(), std::upper_bound(peers.begin(), peers.end(), m_link.self()), peers.end());
         const auto next = std::ranges::find_if(peers, [&](const std::string &peer) {
             return !asked.contains(peer);
         });
