HttpServer does not cut a request that has arrived on an idle connection

What callers saw: a request sent on an open connection just as the router closed its idle connections was reset, or read and passed on to a target while the connection was already closed. Cause: closeIdleConnections() closed the socket of every session that waited for a first byte, whether or not bytes had arrived that the session had not seen yet. Change: it only ends the wait; a session whose wait is ended looks for bytes once more. A connection without any request yet is left open for half a second, since its caller has just connected in order to send one.

HttpServerCloseTest/requestThatArrivesAsIdleConnectionsCloseIsServed failed before with the bytes in the kernel's buffer. The case now sends the request on a connection that has served one, which is stricter: a fresh connection isn't closed at all.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "net/httpserver.h"
 
+#include "clock/steadytime.h"
 #include "net/pause.h"
 
 #include <absl/strings/str_cat.h>
@@ -48,6 +49,8 @@
 /// After the last answer, remaining input from the caller is read and discarded for this long. Closing a socket with unread input resets
 /// the connection, and a reset can destroy an answer that the caller has not read yet.
 constexpr Duration s_lingerTime = std::chrono::milliseconds(500);
+/// A caller sends its first request right after it has connected, so a connection that is younger than this is not idle.
+constexpr Duration s_firstRequestTime = std::chrono::milliseconds(500);
 constexpr std::size_t s_lingerBytes = 4096;
 /// Buffer size of the first read of a request. Most heads fit, and an idle connection does not hold more memory.
 constexpr std::size_t s_firstReadBytes = 2048;
@@ -318,13 +321,19 @@
 struct HttpServer::Session {
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    Instant acceptedAt{};
+    bool hasServed = false;
 };
 
 void HttpServer::closeIdleConnections()
 {
     const std::lock_guard lock(m_idleMutex);
+    const Instant now = steadyNow();
     for (Session *session : m_idle) {
-        session->stream.close();
+        // Only the wait for the next request is ended. A request that has arrived in the meantime is served.
+        if (session->hasServed || now - session->acceptedAt >= s_firstRequestTime) {
+            session->stream.cancel();
+        }
     }
 }
 
@@ -333,24 +342,26 @@
     if (session.buffer.size() > 0) {
         co_return true;
     }
+    {
+        const std::lock_guard lock(m_idleMutex);
+        m_idle.insert(&session);
+    }
     session.stream.expires_after(limits.idleTimeout);
     const auto [error, size] = co_await session.stream.async_read_some(session.buffer.prepare(s_firstReadBytes), s_tuple);
     session.buffer.commit(size);
-    co_return !error;
+    {
+        const std::lock_guard lock(m_idleMutex);
+        m_idle.erase(&session);
+    }
+    boost::system::error_code unavailable;
+    const bool cancelled = error == asio::error::operation_aborted;
+    co_return !error || (cancelled && session.stream.socket().available(unavailable) > 0);
 }
 
 asio::awaitable<bool> HttpServer::serveRequest(Session &session)
 {
     const HttpLimits limits = m_options.limits ? m_options.limits() : HttpLimits{};
-    {
-        const std::lock_guard lock(m_idleMutex);
-        m_idle.insert(&session);
-    }
     const bool requestStarted = co_await awaitRequest(session, limits);
-    {
-        const std::lock_guard lock(m_idleMutex);
-        m_idle.erase(&session);
-    }
     if (!requestStarted) {
         co_return false;
     }
@@ -382,6 +393,7 @@
         co_return false;
     }
     co_await m_handler(exchange);
+    session.hasServed = true;
     co_return exchange.keepAlive();
 }
 
@@ -400,7 +412,7 @@
 
 asio::awaitable<void> HttpServer::serveConnection(asio::ip::tcp::socket socket)
 {
-    Session session{.stream = beast::tcp_stream(std::move(socket))};
+    Session session{.stream = beast::tcp_stream(std::move(socket)), .acceptedAt = steadyNow()};
     bool open = true;
     while (open) {
         open = co_await serveRequest(session);
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -179,7 +179,8 @@
         m_keepAliveDisabled = disabled;
     }
 
-    /// Closes connections on which no request has started. Only for pools with a single loop, called on that loop.
+    /// Closes connections on which no request has arrived. One that has just been accepted is left open for its first request. Only for
+    /// pools with a single loop, called on that loop.
     void closeIdleConnections();
 
     /// Returns the number of open connections, including those on which a request is being read or answered.
@@ -196,7 +197,7 @@
     void startSession(asio::ip::tcp::socket socket);
     asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket);
     asio::awaitable<bool> serveRequest(Session &session);
-    static asio::awaitable<bool> awaitRequest(Session &session, const HttpLimits &limits);
+    asio::awaitable<bool> awaitRequest(Session &session, const HttpLimits &limits);
     static asio::awaitable<void> drainBeforeClose(Session &session);
 
     WorkerPool &m_pool;
@@ -206,7 +207,7 @@
     std::atomic<bool> m_keepAliveDisabled = false;
     std::atomic<std::size_t> m_openAcceptors = 0;
     std::atomic<std::size_t> m_connections = 0;
-    /// Sessions on which no request has started. Guarded by m_idleMutex, under which no other lock is taken.
+    /// Sessions that wait for the first byte of a request. Guarded by m_idleMutex, under which no other lock is taken.
     std::mutex m_idleMutex;
     std::set<Session *> m_idle;
 };
--- a/src/tests/httpservertest.cpp
+++ b/src/tests/httpservertest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -15,6 +16,7 @@
 
 namespace {
 
+constexpr std::string_view s_firstRequest = "GET / HTTP/1.1\r\nHost: router\r\n\r\n";
 constexpr std::string_view s_request = "GET / HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n";
 
 asio::awaitable<void> respondEmpty(HttpExchange &exchange)
@@ -104,7 +106,10 @@
         asio::io_context callers;
         asio::ip::tcp::socket connection(callers);
         connection.connect({asio::ip::make_address(ownAddress()), s_port});
+        asio::write(connection, asio::buffer(s_firstRequest));
         pool.mainLoop().poll();
+        std::string firstAnswer;
+        asio::read_until(connection, asio::dynamic_buffer(firstAnswer), "\r\n\r\n");
         asio::write(connection, asio::buffer(s_request));
         for (int turn = 0; turn < turns; ++turn) {
             pool.mainLoop().poll_one();
