Requests that are cut off at the end of a process do not outlive what they refer to

What was seen: the recorded router wrote "corrupted size vs. prev_size in fastbins" as its last line. Cause: coroutines that are suspended when the event loop stops belong to the loop, which is destroyed after the daemon, and the destructor of a request then unregisters it from a gateway that is gone. Change: WorkerPool::discardPendingWork() destroys them while the daemon exists; both programs call it after run(), and when a port cannot be opened.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -29,9 +29,12 @@
     });
     if (const absl::Status status = process.open(); !status.ok()) {
         logLine(Severity::Error, "cannot start", {{"type", failureName(toFailure(status).kind)}, {"detail", toFailure(status).detail}});
+        pool.discardPendingWork();
         return s_exitStartupError;
     }
     pool.run();
+    // Requests that were cut off refer to the process.
+    pool.discardPendingWork();
     return 0;
 }
 
--- a/src/net/workerpool.cpp
+++ b/src/net/workerpool.cpp
@@ -11,7 +11,7 @@
     : m_arena(workers, 1)
 {
     for (int index = 0; index < workers; ++index) {
-        m_loops.push_back(std::make_unique<boost::asio::io_context>(1));
+        m_loops.push_back(std::make_unique<EventLoop>(1));
         m_guards.push_back(boost::asio::make_work_guard(*m_loops.back()));
     }
 }
@@ -44,6 +44,13 @@
     });
 }
 
+void WorkerPool::discardPendingWork()
+{
+    for (const auto &loop : m_loops) {
+        loop->shutdown();
+    }
+}
+
 void WorkerPool::stop()
 {
     for (const auto &loop : m_loops) {
--- a/src/net/workerpool.h
+++ b/src/net/workerpool.h
@@ -49,10 +49,22 @@
     /// Makes run() return. Can be called from any thread.
     void stop();
 
+    /// Destroys everything that waits on the event loops, such as suspended coroutines. To be called after run() has returned for the last
+    /// time and while the objects that the coroutines refer to still exist. Sockets and timers of the loops may be destroyed later.
+    void discardPendingWork();
+
 private:
+    /// An event loop whose pending work can be destroyed before the loop itself.
+    class EventLoop : public boost::asio::io_context
+    {
+    public:
+        using boost::asio::execution_context::shutdown;
+        using boost::asio::io_context::io_context;
+    };
+
     using Guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
-    std::vector<std::unique_ptr<boost::asio::io_context>> m_loops;
+    std::vector<std::unique_ptr<EventLoop>> m_loops;
     std::vector<Guard> m_guards;
     std::atomic<std::size_t> m_next = 0;
     oneapi::tbb::task_arena m_arena;
--- a/src/tests/gatewaydraintest.cpp
+++ b/src/tests/gatewaydraintest.cpp
@@ -99,6 +99,7 @@
         BOOST_REQUIRE(m_daemon->open().ok());
         m_thread = std::thread([this] {
             m_pool.run();
+            m_pool.discardPendingWork();
             m_stopped = true;
         });
     }
@@ -210,4 +211,16 @@
     BOOST_TEST(router.readAll(caller).starts_with("HTTP/1.1 "));
 }
 
+// Guards against a crash at the end of the process when a request is still in flight then.
+BOOST_AUTO_TEST_CASE(requestCutAtTheDeadlineDoesNotOutliveTheRouter)
+{
+    DrainingRouter router(std::chrono::milliseconds(700));
+    router.waitUntilServing();
+    asio::ip::tcp::socket caller = *router.connect();
+    asio::write(caller, asio::buffer(request("/long/")));
+    router.waitUntilTargetHasRequests(2);
+    router.drain();
+    BOOST_TEST(router.readAll(caller).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
