Tests: a drain that stops while requests are being read

The router's drain looks once for admitted requests, then closes the listener, returns its budgets and stops. Callers whose request is being read, waits for its budget or has its answer written lose it.

The decision moves as it stands into DrainSequence, where a test can drive it. The trial routers_drain counted a refused connection and an unanswered request alike and passed both. A caller cannot tell whether a request was read, and engine journals know only what was dispatched, so the router now logs `stopped` after its event loops have ended, when the numbers can no longer change: `unanswered` (received whole, answer not complete) and `open_connections` (which includes requests being read). The trial requires both to be 0, and that requests whose body is sent in two halves around the SIGTERM are answered. Its callers keep their connections open, and count refused connections and answers cut in the middle apart from connections that ended without an answer.

The halves now wait until the listener is closed.

--- a/scripts/livetrial.py
+++ b/scripts/livetrial.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import threading
 import time
 import zlib
@@ -26,6 +27,7 @@
         self.team = team
         self.router = router
         self.outcomes = []
+        self.connection = None
 
     def run(self):
         count = 0
@@ -39,20 +41,24 @@
                 time.sleep(0.05)
 
     def send(self, prompt, stream):
-        """Sends one request; returns what the caller was told."""
+        """Sends one request on the caller's connection, which stays open between requests; returns what the caller was told."""
         fleet = self.trial.fleet
         router = fleet["routers"][self.router % len(fleet["routers"])]
         outcome = {"team": self.team["name"], "told": "lost", "type": "", "request": "", "at": time.monotonic(), "crossed": False}
         body = json.dumps({"model": MODEL, "prompt": prompt, "stream": stream, "max_tokens": 40})
         headers = {"Authorization": f"Bearer {self.team['key']}", "Content-Type": "application/json", "X-Request-Deadline-Ms": "20000"}
+        if self.connection is None:
+            self.connection = http.client.HTTPConnection(router["url"].removeprefix("http://"), timeout=30)
         try:
-            connection = http.client.HTTPConnection(router["url"].removeprefix("http://"), timeout=30)
-            connection.request("POST", "/v1/completions", body=body, headers=headers)
-            response = connection.getresponse()
+            self.connection.request("POST", "/v1/completions", body=body, headers=headers)
+            response = self.connection.getresponse()
+            outcome["told"] = "cut"
             outcome["request"] = response.getheader("X-Request-Id") or ""
             text = response.read().decode()
-            connection.close()
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as error:
+            if isinstance(error, ConnectionRefusedError):
+                outcome["told"] = "connection_refused"
+            self.connection.close()
             return outcome
         finally:
             outcome["seconds"] = time.monotonic() - outcome["at"]
@@ -68,6 +74,36 @@
         return outcome
 
 
+class SplitRequest:
+    """A request whose body is sent in two halves. The router's 100 Continue shows that it has begun to read it before the first half is sent."""
+
+    def __init__(self, trial, team, router):
+        address, port = trial.fleet["routers"][router]["url"].removeprefix("http://").split(":")
+        body = json.dumps({"model": MODEL, "prompt": "in two halves", "max_tokens": 40}).encode()
+        self.first, self.second = body[:len(body) // 2], body[len(body) // 2:]
+        head = (f"POST /v1/completions HTTP/1.1\r\nHost: {address}\r\nAuthorization: Bearer {team['key']}\r\n"
+                f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\nExpect: 100-continue\r\n\r\n")
+        self.socket = socket.create_connection((address, int(port)), timeout=30)
+        self.socket.sendall(head.encode())
+        received = b""
+        while not received.endswith(b"\r\n\r\n"):
+            received += self.socket.recv(1)
+        self.socket.sendall(self.first)
+
+    def finish(self):
+        """Sends the second half; returns the status of the answer, or None when the connection ends without a whole one."""
+        try:
+            self.socket.sendall(self.second)
+            response = http.client.HTTPResponse(self.socket, method="POST")
+            response.begin()
+            response.read()
+            return response.status
+        except (OSError, http.client.HTTPException):
+            return None
+        finally:
+            self.socket.close()
+
+
 class Trial:
     """A fleet with callers."""
 
@@ -81,6 +117,7 @@
         self.stopping = threading.Event()
         self.callers = []
         self.extra_pids = []
+        self.drained_badly = {}
 
     def call(self, per_team, teams=None):
         """Starts callers for the teams, spread over the routers."""
@@ -156,6 +193,12 @@
             time.sleep(0.5)
         return unbilled
 
+    def last_log_line(self, name, event):
+        """The last line with this event in a process's log; empty when there is none."""
+        lines = (fleetlib.RUN / "log" / f"{name}.log").read_text().splitlines()
+        events = [json.loads(line) for line in lines if line.startswith("{")]
+        return next((line for line in reversed(events) if line["event"] == event), {})
+
     def report(self, name, plentiful):
         """Compares everything; plentiful names the teams that can never run out."""
         self.stop_calling()
@@ -181,6 +224,7 @@
             "refused_for_budget_though_plenty": sum(1 for outcome in outcomes if outcome["type"].startswith("budget_") and outcome["team"] in plentiful),
             "failed_or_cut": told["failed"] + told["cut"],
             "unknown": told["unknown"],
+            "connection_refused": told["connection_refused"],
             "lost_with_the_router": told["lost"],
             "crossed": sum(1 for outcome in outcomes if outcome["crossed"]),
             "run_twice": sum(1 for count in runs.values() if count > 1),
@@ -192,6 +236,7 @@
             "overspent_tokens": sum(max(0, ran_by_budget[name] - line["prepaid"]) for name, line in budgets.items()),
             "budgets_out_of_balance": sum(1 for line in budgets.values() if line["free"] + line["granted"] + line["consumed"] != line["prepaid"]),
             "ledger_differs_from_row": sum(1 for name, line in budgets.items() if charged_by_budget[name] != line["consumed"]),
+            **self.drained_badly,
             "slowest_refusal_s": round(max((outcome["seconds"] for outcome in outcomes if outcome["type"].startswith("budget_")), default=0), 3),
         }
 
@@ -203,10 +248,13 @@
 WRONG = ("crossed", "run_twice", "wrongly_told_not_run", "billed_more_than_once", "ran_but_unbilled", "billed_less_than_ran", "overspent_tokens",
          "budgets_out_of_balance", "ledger_differs_from_row")
 
+# What a planned drain must leave at 0. A router that reports neither number has not ended in good order.
+WRONG_AT_DRAIN = ("unanswered_at_drain", "connections_cut_at_drain", "split_requests_unanswered")
+
 
 def is_clean(report):
     """True when nothing that must not happen did."""
-    return all(report[field] == 0 for field in WRONG)
+    return all(report[field] == 0 for field in WRONG) and all(report.get(field, 0) == 0 for field in WRONG_AT_DRAIN)
 
 
 def himal(small_budget):
--- a/scripts/measurerequests.py
+++ b/scripts/measurerequests.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import signal
+import socket
 import threading
 import time
 
@@ -13,6 +14,8 @@
 ROUTER_FLAGS = ("--reclaim_after_ms=3000", "--platform_timeout_ms=300")
 LEAVING_GRACE_MS = 3000
 TRIES = 6
+SPLIT_REQUESTS = 4
+SPLIT_HOLD_SECONDS = 3
 WRONG = ("submissions_run_twice", "submissions_answered_but_not_run", "submissions_wrongly_told_not_run")
 
 
@@ -88,10 +91,32 @@
     time.sleep(6)
 
 
+def listens(url):
+    """True when the address accepts a connection."""
+    address, port = url.removeprefix("http://").split(":")
+    try:
+        socket.create_connection((address, int(port)), timeout=2).close()
+    except OSError:
+        return False
+    return True
+
+
 def routers_drain(trial):
+    """A planned drain. A caller cannot tell whether the request that it sent was read; the router's counts once its loops have ended can."""
     time.sleep(2)
+    router = trial.fleet["routers"][0]
+    split = [livetrial.SplitRequest(trial, trial.fleet["teams"][0], 0) for _ in range(SPLIT_REQUESTS)]
     trial.signal("routers", 0, signal.SIGTERM)
-    fleetlib.wait_until(lambda: not trial.running("routers", 0), "the end of the draining router")
+    fleetlib.wait_until(lambda: not listens(router["url"]), "the end of the router's listener", seconds=fleetlib.STOP_SECONDS)
+    # A router that does not wait for requests it is reading ends in this time.
+    deadline = time.monotonic() + SPLIT_HOLD_SECONDS
+    while trial.running("routers", 0) and time.monotonic() < deadline:
+        time.sleep(0.02)
+    statuses = [request.finish() for request in split]
+    fleetlib.wait_until(lambda: not trial.running("routers", 0), "the end of the draining router", seconds=fleetlib.STOP_SECONDS)
+    stopped = trial.last_log_line(router["name"], "stopped")
+    trial.drained_badly = {"unanswered_at_drain": stopped.get("unanswered", -1), "connections_cut_at_drain": stopped.get("open_connections", -1),
+                           "split_requests_unanswered": statuses.count(None)}
     trial.restart("routers", 0)
     time.sleep(4)
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -32,6 +32,7 @@
         return s_exitStartupError;
     }
     pool.run();
+    process.logStopped();
     return 0;
 }
 
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -5,6 +5,7 @@
 #include "membership/evacuationrows.h"
 #include "net/incarnation.h"
 #include "net/pause.h"
+#include "operations/drainsequence.h"
 #include "operations/log.h"
 
 #include <absl/strings/str_cat.h>
@@ -407,17 +408,36 @@
 
 asio::awaitable<void> Router::drainLoop()
 {
-    const Instant limit = steadyNow() + m_settings.drainTimeout;
-    while (m_driver.inFlight() > 0 && steadyNow() < limit) {
-        co_await pause(s_drainPollInterval);
+    const DrainSequence sequence(steadyNow() + m_settings.drainTimeout);
+    DrainProgress progress;
+    DrainStep step = DrainStep::Wait;
+    while (step != DrainStep::Stop) {
+        progress.requests = m_driver.inFlight();
+        progress.connections = m_callerServer->connections();
+        step = sequence.next(progress, steadyNow());
+        if (step == DrainStep::Wait) {
+            co_await pause(s_drainPollInterval);
+        } else if (step == DrainStep::CloseListener) {
+            m_callerServer->close();
+            progress.listenerClosed = true;
+        } else if (step == DrainStep::ReturnBudgets) {
+            co_await m_budgets.returnHoldings(s_returnTimeout);
+            progress.budgetsReturned = true;
+        }
     }
-    m_callerServer->close();
-    co_await m_budgets.returnHoldings(s_returnTimeout);
     logLine(Severity::Info, "drained", {{"unfinished", static_cast<std::int64_t>(m_driver.inFlight())}});
     co_await pause(s_drainPollInterval);
     m_pool.stop();
 }
 
+void Router::logStopped() const
+{
+    logLine(Severity::Info,
+            "stopped",
+            {{"unanswered", static_cast<std::int64_t>(m_unanswered)},
+             {"open_connections", static_cast<std::int64_t>(m_callerServer->connections())}});
+}
+
 bool Router::ready() const
 {
     return configuration() != nullptr && !m_draining && !m_budgets.fenced();
@@ -491,7 +511,9 @@
     if (answered) {
         co_return;
     }
+    ++m_unanswered;
     co_await m_callerApi.handle(exchange);
+    --m_unanswered;
 }
 
 asio::awaitable<void> Router::handleOperations(HttpExchange &exchange)
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -40,6 +40,10 @@
     /// the worker pool.
     void drain();
 
+    /// Logs the requests that were received and not answered, and the connections that are still open. Called once the event loops have
+    /// ended, when neither number can change any more.
+    void logStopped() const;
+
 private:
     void onMessage(std::string_view peer, wire::Envelope &message);
     void onReport(std::string_view peer, const wire::Report &report);
@@ -88,6 +92,8 @@
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_operationsServer;
     std::atomic<bool> m_draining = false;
+    /// Requests of callers that were received and whose answer is not complete.
+    std::atomic<std::size_t> m_unanswered = 0;
 };
 
 }
--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -126,6 +126,12 @@
     m_pool.stop();
 }
 
+void Sidecar::logStopped()
+{
+    const std::lock_guard lock(m_mutex);
+    logLine(Severity::Info, "stopped", {{"unfinished", static_cast<std::int64_t>(m_table.running())}});
+}
+
 asio::awaitable<void> Sidecar::loadKnownRouters()
 {
     PlatformClient platform(m_pool.mainLoop().get_executor(), m_settings.platform, m_settings.platformTimeout);
--- a/src/engine/sidecar.h
+++ b/src/engine/sidecar.h
@@ -35,6 +35,9 @@
     /// Refuses new attempts, waits until all runs have ended or Settings::drainTimeout has passed, and stops the worker pool.
     void drain();
 
+    /// Logs the runs that have not ended. Called once the event loops have ended.
+    void logStopped();
+
 private:
     struct LiveRun;
 
