--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -33,6 +33,7 @@
         return s_exitStartupError;
     }
     pool.run();
+    process.logStopped();
     // Requests that were cut off refer to the process.
     pool.discardPendingWork();
     return 0;
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -5,6 +5,7 @@
 #include "membership/evacuationrows.h"
 #include "net/incarnation.h"
 #include "net/pause.h"
+#include "operations/drainsequence.h"
 #include "operations/log.h"
 
 #include <absl/strings/str_cat.h>
@@ -401,23 +402,57 @@
         return;
     }
     m_callerApi.beginDrain();
+    m_callerServer->setKeepAliveDisabled(true);
     logLine(Severity::Info, "draining");
     asio::co_spawn(m_pool.mainLoop(), drainLoop(), asio::detached);
 }
 
-asio::awaitable<void> Router::drainLoop()
+asio::awaitable<void> Router::closeListener()
 {
-    const Instant limit = steadyNow() + m_settings.drainTimeout;
-    while (m_driver.inFlight() > 0 && steadyNow() < limit) {
+    m_callerServer->close();
+    while (m_callerServer->listening()) {
         co_await pause(s_drainPollInterval);
     }
-    m_callerServer->close();
-    co_await m_budgets.returnHoldings(s_returnTimeout);
+    // A connection that was accepted just before is started by a handler that is already queued on its loop.
+    for (std::size_t index = 0; index < m_pool.size(); ++index) {
+        co_await asio::post(m_pool.loop(index).get_executor(), asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> Router::drainLoop()
+{
+    const DrainSequence sequence(steadyNow() + m_settings.drainTimeout);
+    DrainProgress progress;
+    DrainStep step = DrainStep::Wait;
+    while (step != DrainStep::Stop) {
+        progress.requests = m_driver.inFlight();
+        progress.connections = m_callerServer->connections();
+        step = sequence.next(progress, steadyNow());
+        if (step == DrainStep::Wait) {
+            if (progress.listenerClosed) {
+                m_callerServer->closeIdleConnections();
+            }
+            co_await pause(s_drainPollInterval);
+        } else if (step == DrainStep::CloseListener) {
+            co_await closeListener();
+            progress.listenerClosed = true;
+        } else if (step == DrainStep::ReturnBudgets) {
+            co_await m_budgets.returnHoldings(s_returnTimeout);
+            progress.budgetsReturned = true;
+        }
+    }
     logLine(Severity::Info, "drained", {{"unfinished", static_cast<std::int64_t>(m_driver.inFlight())}});
-    co_await pause(s_drainPollInterval);
     m_pool.stop();
 }
 
+void Router::logStopped() const
+{
+    logLine(Severity::Info,
+            "stopped",
+            {{"unanswered", static_cast<std::int64_t>(m_unanswered)},
+             {"open_connections", static_cast<std::int64_t>(m_callerServer->connections())}});
+}
+
 bool Router::ready() const
 {
     return configuration() != nullptr && !m_draining && !m_budgets.fenced();
@@ -491,7 +526,9 @@
     if (answered) {
         co_return;
     }
+    ++m_unanswered;
     co_await m_callerApi.handle(exchange);
+    --m_unanswered;
 }
 
 asio::awaitable<void> Router::handleOperations(HttpExchange &exchange)
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -36,10 +36,14 @@
     /// error if a port cannot be opened.
     absl::Status open();
 
-    /// Rejects new requests, waits until requests in flight have ended or Settings::drainTimeout has passed, returns the grants and stops
-    /// the worker pool.
+    /// Rejects new requests, waits until requests in flight and then all connections have ended or Settings::drainTimeout has passed,
+    /// returns the grants and stops the worker pool.
     void drain();
 
+    /// Logs the requests that were received and not answered, and the connections that are still open. Called once the event loops have
+    /// ended, when neither number can change any more.
+    void logStopped() const;
+
 private:
     void onMessage(std::string_view peer, wire::Envelope &message);
     void onReport(std::string_view peer, const wire::Report &report);
@@ -56,6 +60,7 @@
     asio::awaitable<void> watchForDeadRouters();
     asio::awaitable<void> watchForFencing();
     std::vector<std::string> responsivePeers();
+    asio::awaitable<void> closeListener();
     asio::awaitable<void> drainLoop();
     asio::awaitable<void> handleCaller(HttpExchange &exchange);
     asio::awaitable<void> handleOperations(HttpExchange &exchange);
@@ -88,6 +93,8 @@
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_operationsServer;
     std::atomic<bool> m_draining = false;
+    /// Requests of callers that were received and whose answer is not complete.
+    std::atomic<std::size_t> m_unanswered = 0;
 };
 
 }
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -326,12 +326,23 @@
 };
 
 void HttpServer::closeIdleConnections()
+{
+    for (std::size_t index = 0; index < m_pool.size(); ++index) {
+        const asio::any_io_executor executor = m_pool.loop(index).get_executor();
+        asio::dispatch(executor, [this, executor] {
+            closeIdleConnectionsOf(executor);
+        });
+    }
+}
+
+void HttpServer::closeIdleConnectionsOf(const asio::any_io_executor &executor)
 {
     const std::lock_guard lock(m_idleMutex);
     const Instant now = steadyNow();
     for (Session *session : m_idle) {
+        const bool mayClose = session->hasServed || now - session->acceptedAt >= s_firstRequestTime;
         // Only the wait for the next request is ended. A request that has arrived in the meantime is served.
-        if (session->hasServed || now - session->acceptedAt >= s_firstRequestTime) {
+        if (mayClose && session->stream.get_executor() == executor) {
             session->stream.cancel();
         }
     }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -179,8 +179,7 @@
         m_keepAliveDisabled = disabled;
     }
 
-    /// Closes connections on which no request has arrived. One that has just been accepted is left open for its first request. Only for
-    /// pools with a single loop, called on that loop.
+    /// Closes connections on which no request has arrived. One that has just been accepted is left open for its first request.
     void closeIdleConnections();
 
     /// Returns the number of open connections, including those on which a request is being read or answered.
@@ -193,6 +192,8 @@
     struct Session;
 
     asio::awaitable<void> accept(asio::ip::tcp::acceptor &acceptor);
+    /// Closes the idle connections of one event loop. Called on that loop.
+    void closeIdleConnectionsOf(const asio::any_io_executor &executor);
     void acceptPending(asio::ip::tcp::acceptor &acceptor, std::size_t most);
     void startSession(asio::ip::tcp::socket socket);
     asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket);
