Carry the store's generation with its answers

The platform's store may come back from a copy some seconds old; the header Store-Era, in all its answers, then rises by one and versions are given out again. The client reads the header into reads, feeds and results of transactions, and the link hands it on with calls that peers carry. The stand-in can return from a copy. Nothing decides by it yet.

--- a/src/membership/relayedstore.cpp
+++ b/src/membership/relayedstore.cpp
@@ -74,6 +74,7 @@
     message.set_applied(verdict.applied);
     message.set_version(verdict.version);
     message.set_store_time_ms(verdict.storeTime);
+    message.set_generation(verdict.generation);
     addRows(message, verdict.current);
     return message;
 }
@@ -83,18 +84,24 @@
     wire::StoreAnswer message;
     message.set_version(read.version);
     message.set_store_time_ms(read.storeTime);
+    message.set_generation(read.generation);
     addRows(message, read.rows);
     return message;
 }
 
 RowTransactionResult verdictFromWire(const wire::StoreAnswer &message)
 {
-    return {.applied = message.applied(), .version = message.version(), .current = rowsOf(message), .storeTime = message.store_time_ms()};
+    return {.applied = message.applied(),
+            .version = message.version(),
+            .current = rowsOf(message),
+            .storeTime = message.store_time_ms(),
+            .generation = message.generation()};
 }
 
 RowsSnapshot readFromWire(const wire::StoreAnswer &message)
 {
-    return {.rows = rowsOf(message), .version = message.version(), .storeTime = message.store_time_ms()};
+    return {
+        .rows = rowsOf(message), .version = message.version(), .storeTime = message.store_time_ms(), .generation = message.generation()};
 }
 
 }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -197,6 +197,7 @@
     reply.status = parser.get().result_int();
     reply.contentType = std::string(parser.get()[http::field::content_type]);
     reply.body = std::move(parser.get().body());
+    reply.headers = parser.get();
     if (parser.get().keep_alive() && !reply.bodyTooLarge) {
         keepForReuse(std::move(connection), parser.get());
     }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -62,6 +62,7 @@
     unsigned status = 0;
     std::string contentType;
     std::string body;
+    http::fields headers;
     /// Time until the head of the answer arrived. It measures how long the peer took, without the transfer of the body.
     Duration headDelay{};
     /// True when the body exceeded maxReplyBodyBytes and was not read.
--- a/src/store/memoryrows.cpp
+++ b/src/store/memoryrows.cpp
@@ -24,8 +24,8 @@
 
 std::uint64_t MemoryRows::versionOf(const RowAddress &address) const
 {
-    const auto found = m_rows.find(address);
-    return found == m_rows.end() ? 0 : found->second.version;
+    const auto found = m_state.rows.find(address);
+    return found == m_state.rows.end() ? 0 : found->second.version;
 }
 
 absl::StatusOr<RowTransactionResult> MemoryRows::transact(const RowTransaction &transaction, StoreTimeMs now)
@@ -36,33 +36,34 @@
     const auto holds = [this](const RowCondition &condition) {
         return versionOf(condition.address) == condition.version;
     };
-    RowTransactionResult result{.applied = std::ranges::all_of(transaction.conditions, holds), .storeTime = now};
+    RowTransactionResult result{
+        .applied = std::ranges::all_of(transaction.conditions, holds), .storeTime = now, .generation = m_generation};
     if (!result.applied) {
         for (const RowCondition &condition : transaction.conditions) {
-            const auto found = m_rows.find(condition.address);
-            if (found != m_rows.end()) {
+            const auto found = m_state.rows.find(condition.address);
+            if (found != m_state.rows.end()) {
                 result.current.push_back(found->second);
             }
         }
         return result;
     }
-    result.version = ++m_version;
+    result.version = ++m_state.version;
     for (const RowChange &change : transaction.changes) {
-        StoredRow row{.address = change.address, .value = change.value.value_or(""), .version = change.value ? m_version : 0};
+        StoredRow row{.address = change.address, .value = change.value.value_or(""), .version = change.value ? m_state.version : 0};
         if (change.value) {
-            m_rows.insert_or_assign(change.address, row);
+            m_state.rows.insert_or_assign(change.address, row);
         } else {
-            m_rows.erase(change.address);
+            m_state.rows.erase(change.address);
         }
-        m_history.emplace_back(m_version, std::move(row));
+        m_state.history.emplace_back(m_state.version, std::move(row));
     }
     return result;
 }
 
 RowsSnapshot MemoryRows::read(std::string_view table, std::string_view part, StoreTimeMs now) const
 {
-    RowsSnapshot read{.version = m_version, .storeTime = now};
-    for (const auto &[address, row] : m_rows) {
+    RowsSnapshot read{.version = m_state.version, .storeTime = now, .generation = m_generation};
+    for (const auto &[address, row] : m_state.rows) {
         if (address.table == table && address.part == part) {
             read.rows.push_back(row);
         }
@@ -72,8 +73,10 @@
 
 RowsFeed MemoryRows::changesSince(std::string_view table, std::uint64_t version) const
 {
-    RowsFeed feed{.version = m_version, .historyCompacted = version < m_compactedVersion};
-    for (const auto &[changed, row] : m_history) {
+    // A version that was not reached yet belongs to an earlier generation.
+    const bool unknown = version < m_state.compactedVersion || version > m_state.version;
+    RowsFeed feed{.version = m_state.version, .historyCompacted = unknown, .generation = m_generation};
+    for (const auto &[changed, row] : m_state.history) {
         if (changed > version && row.address.table == table) {
             feed.rows.push_back(row);
         }
@@ -81,10 +84,21 @@
     return feed;
 }
 
+void MemoryRows::makeCopy()
+{
+    m_copy = m_state;
+}
+
+void MemoryRows::returnToCopy()
+{
+    m_state = m_copy;
+    ++m_generation;
+}
+
 void MemoryRows::compact()
 {
-    m_history.clear();
-    m_compactedVersion = m_version;
+    m_state.history.clear();
+    m_state.compactedVersion = m_state.version;
 }
 
 }
--- a/src/store/memoryrows.h
+++ b/src/store/memoryrows.h
@@ -8,7 +8,8 @@
 namespace bamboohold {
 
 /// An in-memory store of versioned rows with the semantics that RowStore requires: conditional transactions within one part, a single
-/// version counter and a change feed with bounded history. Used by tests and stand-ins. Not thread-safe.
+/// version counter and a change feed with bounded history. It can return from an older copy of itself. Used by tests and stand-ins. Not
+/// thread-safe.
 class MemoryRows
 {
 public:
@@ -25,20 +26,39 @@
     /// Discards the change history up to the current version, as a real store may do at any time.
     void compact();
 
+    /// Copies the current state, for returnToCopy().
+    void makeCopy();
+
+    /// Replaces the state by the copy that was made last. Everything written since then is lost, versions are given out again, and the next
+    /// generation begins. Without a copy the store returns empty.
+    void returnToCopy();
+
     /// Returns the version of the latest applied transaction.
     std::uint64_t version() const
     {
-        return m_version;
+        return m_state.version;
+    }
+
+    /// Returns how often the store has returned from a copy.
+    StoreGeneration generation() const
+    {
+        return m_generation;
     }
 
 private:
+    struct State {
+        std::map<RowAddress, StoredRow> rows;
+        /// The retained changes with their versions, oldest first. A removal is recorded as a row with version 0.
+        std::deque<std::pair<std::uint64_t, StoredRow>> history;
+        std::uint64_t version = 0;
+        std::uint64_t compactedVersion = 0;
+    };
+
     std::uint64_t versionOf(const RowAddress &address) const;
 
-    std::map<RowAddress, StoredRow> m_rows;
-    /// The retained changes with their versions, oldest first. A removal is recorded as a row with version 0.
-    std::deque<std::pair<std::uint64_t, StoredRow>> m_history;
-    std::uint64_t m_version = 0;
-    std::uint64_t m_compactedVersion = 0;
+    State m_state;
+    State m_copy;
+    StoreGeneration m_generation = 0;
 };
 
 }
--- a/src/store/rowstore.h
+++ b/src/store/rowstore.h
@@ -56,6 +56,18 @@
     std::vector<RowChange> changes;
 };
 
+/// Counts how often the store has come back from an older copy of itself. What it had acknowledged since that copy was made is then gone,
+/// and versions are given out again: versions of different generations cannot be compared.
+using StoreGeneration = std::uint64_t;
+
+/// A state of the store. Of two states, the one of the later generation is newer, whatever their versions are.
+struct StorePosition {
+    StoreGeneration generation = 0;
+    std::uint64_t version = 0;
+
+    auto operator<=>(const StorePosition &) const = default;
+};
+
 /// Time of the store's monotonic clock, in milliseconds. The clock has its own origin and keeps running while hosts are suspended.
 using StoreTimeMs = std::int64_t;
 
@@ -67,6 +79,8 @@
     /// If not applied: the current rows that the conditions refer to. Rows that do not exist are omitted.
     std::vector<StoredRow> current;
     StoreTimeMs storeTime = 0;
+    /// The store's generation when it answered.
+    StoreGeneration generation = 0;
 };
 
 /// A consistent snapshot of rows.
@@ -75,6 +89,12 @@
     /// The version of the store at the time of the snapshot. A change feed can continue from it.
     std::uint64_t version = 0;
     StoreTimeMs storeTime = 0;
+    StoreGeneration generation = 0;
+
+    StorePosition position() const
+    {
+        return {.generation = generation, .version = version};
+    }
 };
 
 /// The changes of a table after a given version.
@@ -87,6 +107,8 @@
     bool historyCompacted = false;
     /// True when the changes are larger than the whole table and were not read. The table has to be read instead.
     bool longerThanTable = false;
+    /// If it is not the one of the requested version, the rows say nothing about the changes since then. The table has to be read again.
+    StoreGeneration generation = 0;
 };
 
 /// Statistics of one call to the store over the network, successful or not.
