Test what the client and the stand-in make of a store that returns

Cause: in a drill the platform's store may come back from a copy some seconds old.

Not covered: now_ms of the stand-in is a constant, as before, so a router's registry and checkpoints cannot be played against it.

--- a/src/tests/relayedstoretest.cpp
+++ b/src/tests/relayedstoretest.cpp
@@ -157,4 +157,23 @@
     BOOST_TEST(fixture.relayCalls == directCallsBefore);
 }
 
+// Guards against a router that reaches the store only through a peer and does not learn that the store returned from an older copy.
+BOOST_AUTO_TEST_CASE(theGenerationSurvivesTheLink)
+{
+    MemoryRows rows;
+    rows.returnToCopy();
+    const RowAddress key{.table = "t", .part = "p", .key = "k"};
+    const RowTransaction transaction{.conditions = {{.address = key, .version = 0}}, .changes = {{.address = key, .value = "1"}}};
+    const auto throughLink = [](const auto &result) {
+        wire::StoreAnswer received;
+        BOOST_REQUIRE(received.ParseFromString(toWire(result).SerializeAsString()));
+        return received;
+    };
+    BOOST_TEST(verdictFromWire(throughLink(*rows.transact(transaction, s_storeTime))).generation == 1U);
+    const RowTransactionResult refused = verdictFromWire(throughLink(*rows.transact(transaction, s_storeTime)));
+    BOOST_TEST(!refused.applied);
+    BOOST_TEST(refused.generation == 1U);
+    BOOST_TEST(readFromWire(throughLink(rows.read("t", "p", s_storeTime))).generation == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
