Test what a router keeps when the store returns from a copy

Seen: after the store came back from a copy, routers stayed on the old configuration and on old target records for many seconds, and leaving targets still got work. The tests play this with MemoryRows::returnToCopy(); the hooks that they need (onGeneration, beginGeneration, settle) are declared and do nothing yet.

--- a/src/gateway/evacuationfollower.cpp
+++ b/src/gateway/evacuationfollower.cpp
@@ -27,6 +27,11 @@
     return *std::move(domain);
 }
 
+void EvacuationFollower::beginGeneration(StoreGeneration generation)
+{
+    m_evacuations.beginGeneration(generation);
+}
+
 void EvacuationFollower::applyTable(std::span<const StoredRow> rows)
 {
     std::set<std::string> domains;
@@ -47,7 +52,7 @@
 
 void EvacuationFollower::commitStoreVersion(std::uint64_t version, Instant now)
 {
-    if (m_evacuations.commitStoreVersion(version)) {
+    if (m_evacuations.commitStoreVersion(version, now)) {
         activate("store", now);
         m_options.announce(*inForce());
     }
@@ -55,11 +60,18 @@
 
 void EvacuationFollower::applyPeerState(const Evacuations::State &state, Instant now)
 {
-    if (m_evacuations.applyPeerState(state)) {
+    if (m_evacuations.applyPeerState(state, now)) {
         activate("peer", now);
     }
 }
 
+void EvacuationFollower::settle(Instant now)
+{
+    if (m_evacuations.settle(now)) {
+        activate("settled", now);
+    }
+}
+
 void EvacuationFollower::activate(std::string_view source, Instant now)
 {
     const Evacuations::State &state = *inForce();
@@ -67,7 +79,7 @@
             "evacuations.in_force",
             {{"domains", absl::StrJoin(state.domains, ",")}, {"version", static_cast<std::int64_t>(state.version)}, {"source", source}});
     m_metrics.gauge("domains_evacuated", {.name = "host", .value = m_options.host}, static_cast<std::int64_t>(state.domains.size()));
-    m_balancer.setEvacuatedDomains(state.domains, now);
+    m_balancer.setEvacuatedDomains(m_evacuations.domains(), now);
 }
 
 }
--- a/src/gateway/evacuationfollower.h
+++ b/src/gateway/evacuationfollower.h
@@ -35,6 +35,9 @@
     /// The balancer and the metrics must outlive this object.
     EvacuationFollower(TargetBalancer &balancer, Metrics &metrics, Options options);
 
+    /// The rows applied from now on are of this generation of the store.
+    void beginGeneration(StoreGeneration generation);
+
     /// Replaces the orders by a consistent read of the whole table. Takes effect with commitStoreVersion().
     void applyTable(std::span<const StoredRow> rows);
 
@@ -47,6 +50,9 @@
     /// Puts a peer's state in force, unless a newer one is.
     void applyPeerState(const Evacuations::State &state, Instant now);
 
+    /// Drops the orders of an earlier generation whose settling time has passed. Call periodically.
+    void settle(Instant now);
+
     /// The state in force; none until the first one from the store or a peer.
     const std::optional<Evacuations::State> &inForce() const
     {
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -333,6 +333,10 @@
                 .onVersion =
                     [this](std::uint64_t version) {
                         m_evacuations.commitStoreVersion(version, steadyNow());
+                    },
+                .onGeneration =
+                    [this](StorePosition first) {
+                        m_evacuations.beginGeneration(first.generation);
                     }};
     }
 
@@ -397,6 +401,10 @@
                 .onReachable =
                     [this](bool reachable) {
                         m_gateway.board().setStoreReachable(reachable, steadyNow());
+                    },
+                .onGeneration =
+                    [this](StorePosition first) {
+                        m_targetFollower.beginGeneration(first, steadyNow());
                     }};
     }
 
@@ -405,6 +413,7 @@
         for (unsigned round = 0;; ++round) {
             co_await pause(s_maintenanceInterval);
             m_gateway.board().removeExpired(steadyNow());
+            m_evacuations.settle(steadyNow());
             m_gateway.dropStaleTargets();
             if (round % s_roundsPerLoadRenewal == 0) {
                 m_gateway.chooser().refreshLoads();
--- a/src/gateway/targetfollower.cpp
+++ b/src/gateway/targetfollower.cpp
@@ -17,6 +17,10 @@
 {
 }
 
+void TargetFollower::beginGeneration(StorePosition, Instant)
+{
+}
+
 void TargetFollower::applyTable(std::span<const StoredRow> rows, Instant now)
 {
     std::vector<TargetListing> listings;
--- a/src/gateway/targetfollower.h
+++ b/src/gateway/targetfollower.h
@@ -37,6 +37,9 @@
     /// The balancer, the relay selector and the metrics must outlive this object.
     TargetFollower(TargetBalancer &balancer, RelaySelector &relaySelector, Metrics &metrics, Options options);
 
+    /// The next read of the whole table is the first one of a generation of the store, at this position.
+    void beginGeneration(StorePosition first, Instant now);
+
     /// Replaces the list by a consistent read of the whole table.
     void applyTable(std::span<const StoredRow> rows, Instant now);
 
--- a/src/membership/evacuations.cpp
+++ b/src/membership/evacuations.cpp
@@ -4,6 +4,10 @@
 
 namespace bamboohold {
 
+void Evacuations::beginGeneration(StoreGeneration)
+{
+}
+
 void Evacuations::replaceStoreDomains(std::set<std::string> domains)
 {
     m_storeDomains = std::move(domains);
@@ -18,16 +22,26 @@
     }
 }
 
-bool Evacuations::commitStoreVersion(std::uint64_t version)
+bool Evacuations::commitStoreVersion(std::uint64_t version, Instant)
 {
     return adoptIfNewer({.version = version, .domains = m_storeDomains});
 }
 
-bool Evacuations::applyPeerState(const State &state)
+bool Evacuations::applyPeerState(const State &state, Instant)
 {
     return adoptIfNewer(state);
 }
 
+bool Evacuations::settle(Instant)
+{
+    return false;
+}
+
+std::set<std::string> Evacuations::domains() const
+{
+    return m_inForce ? m_inForce->domains : std::set<std::string>();
+}
+
 bool Evacuations::adoptIfNewer(const State &state)
 {
     if (m_inForce && state.version <= m_inForce->version) {
--- a/src/membership/evacuations.h
+++ b/src/membership/evacuations.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "clock/instant.h"
+#include "store/rowstore.h"
+
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -16,10 +19,14 @@
 public:
     /// The evacuated failure domains at a version of the store.
     struct State {
+        StoreGeneration generation = 0;
         std::uint64_t version = 0;
         std::set<std::string> domains;
     };
 
+    /// The rows applied from now on are of this generation of the store.
+    void beginGeneration(StoreGeneration generation);
+
     /// Replaces the domains by those of a consistent read of the whole table. Takes effect with commitStoreVersion().
     void replaceStoreDomains(std::set<std::string> domains);
 
@@ -28,10 +35,16 @@
 
     /// Puts the rows applied so far in force as the store's state at this version, unless a newer state is in force. Returns whether the
     /// evacuated domains changed.
-    bool commitStoreVersion(std::uint64_t version);
+    bool commitStoreVersion(std::uint64_t version, Instant now);
 
     /// Puts a peer's state in force, unless a newer one is. Returns whether the evacuated domains changed.
-    bool applyPeerState(const State &state);
+    bool applyPeerState(const State &state, Instant now);
+
+    /// Drops the orders of an earlier generation whose settling time has passed. Returns whether the evacuated domains changed.
+    bool settle(Instant now);
+
+    /// The evacuated domains; empty until the first state.
+    std::set<std::string> domains() const;
 
     /// The state in force; none until the first one from the store or a peer.
     const std::optional<State> &inForce() const
--- a/src/store/tablewatcher.h
+++ b/src/store/tablewatcher.h
@@ -31,6 +31,8 @@
         std::function<void(bool)> onReachable;
         /// Called after the other callbacks have reported everything up to this version of the table.
         std::function<void(std::uint64_t version)> onVersion = [](std::uint64_t) {};
+        /// Called before the first snapshot of each generation of the store is reported, with the position of that snapshot.
+        std::function<void(StorePosition first)> onGeneration = [](StorePosition) {};
         /// How long the store may delay its answer while nothing changes (long polling). Kept short because a silently broken connection is
         /// only noticed when an answer does not arrive.
         Duration longPollTimeout = std::chrono::milliseconds(1500);
--- a/src/tests/evacuationstest.cpp
+++ b/src/tests/evacuationstest.cpp
@@ -36,7 +36,7 @@
             rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange<std::size_t>(0, history.size())));
         for (const auto &[kind, drawn] : steps) {
             if (kind == 0) {
-                evacuations.applyPeerState({.version = drawn, .domains = history[drawn]});
+                evacuations.applyPeerState({.version = drawn, .domains = history[drawn]}, Instant{});
                 newest = std::max(newest, drawn);
             } else {
                 // The router reads the store's table as a whole, or follows its changes from the version that it has.
@@ -48,7 +48,7 @@
                         evacuations.applyStoreChange(name, history[read].contains(name));
                     }
                 }
-                evacuations.commitStoreVersion(read);
+                evacuations.commitStoreVersion(read, Instant{});
                 newest = std::max(newest, read);
             }
             known = true;
