Order the states of a watched table by generation, then version

What callers saw: after the store returned from a copy, routers stayed on the old configuration and the old targets until its counter had passed theirs. A feed of another generation is not applied and the table is read at once.

--- a/src/store/tablewatcher.h
+++ b/src/store/tablewatcher.h
@@ -9,14 +9,16 @@
 #include <algorithm>
 #include <bit>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace bamboohold {
 
 /// Keeps track of a table in the store. It reads the whole table, then follows the change feed, and reads the whole table again when the
-/// store no longer has the changes.
+/// store no longer has the changes or has come back from a copy. States are ordered by the store's generation, then by version.
 template<RowStore Store>
 class TableWatcher
 {
@@ -70,15 +72,20 @@
             logCallFailure("read", read.status());
             co_return false;
         }
-        m_consecutiveFailures = 0;
-        if (read->version < m_version) {
+        if (m_position && read->position() < *m_position) {
             // An older snapshot would revert changes that are already in effect.
+            logCallFailure("read", failed(FailureKind::TableUnreachable, "the snapshot is older than the last one"));
             co_return false;
         }
-        m_version = read->version;
+        m_consecutiveFailures = 0;
+        const std::optional<StorePosition> before = std::exchange(m_position, read->position());
         m_synced = true;
+        if (!before || before->generation != m_position->generation) {
+            logReturn(before);
+            m_options.onGeneration(*m_position);
+        }
         m_options.onSnapshot(read->rows);
-        m_options.onVersion(m_version);
+        m_options.onVersion(m_position->version);
         co_return true;
     }
 
@@ -87,13 +94,16 @@
     /// the store.
     boost::asio::awaitable<bool> followChanges()
     {
-        const absl::StatusOr<RowsFeed> feed = co_await m_store.follow(m_options.table, m_version, m_options.longPollTimeout);
+        const absl::StatusOr<RowsFeed> feed = co_await m_store.follow(m_options.table, m_position->version, m_options.longPollTimeout);
         if (!feed.ok()) {
             logCallFailure("follow", feed.status());
             co_return false;
         }
+        if (feed->generation != m_position->generation) {
+            co_return false;
+        }
         if (feed->historyCompacted) {
-            logLine(Severity::Info, "store.history_gone", {{"table", m_options.table}, {"version", static_cast<std::int64_t>(m_version)}});
+            logLine(Severity::Info, "store.history_gone", {{"table", m_options.table}, {"version", lastVersion()}});
             co_return false;
         }
         if (feed->longerThanTable) {
@@ -105,14 +115,34 @@
                 m_options.onChange(feed->rows[index]);
             }
         }
-        m_version = std::max(m_version, feed->version);
-        m_options.onVersion(m_version);
+        m_position->version = std::max(m_position->version, feed->version);
+        m_options.onVersion(m_position->version);
         // Changes made while the previous answer was being transferred arrive together in the next one. If the rows are large and keep
         // changing, every answer would be larger and take longer than the one before, and the watcher would fall further and further
         // behind. A read of the whole table contains each row only once.
         co_return std::ranges::none_of(superseded, std::identity{});
     }
 
+    /// Logs that the snapshot just read is the first one of a later generation than the one before.
+    void logReturn(const std::optional<StorePosition> &before) const
+    {
+        if (before) {
+            logLine(Severity::Warning,
+                    "store.returned_from_copy",
+                    {{"table", m_options.table},
+                     {"generation_before", static_cast<std::int64_t>(before->generation)},
+                     {"generation", static_cast<std::int64_t>(m_position->generation)},
+                     {"version_before", static_cast<std::int64_t>(before->version)},
+                     {"version", lastVersion()}});
+        }
+    }
+
+    /// The version of the last state that was read, for the log; 0 before the first.
+    std::int64_t lastVersion() const
+    {
+        return static_cast<std::int64_t>(m_position.value_or(StorePosition{}).version);
+    }
+
     /// Logs why a call failed: the `store.lost` event alone does not distinguish a store that is silent from an answer that never arrives
     /// completely. Of consecutive failures only the 1st, 2nd, 4th, 8th and so on are logged, so that a long outage does not flood the log.
     void logCallFailure(std::string_view call, const absl::Status &status)
@@ -133,7 +163,7 @@
         if (reachable != m_reachable) {
             logLine(reachable ? Severity::Info : Severity::Warning,
                     reachable ? "store.regained" : "store.lost",
-                    {{"table", m_options.table}, {"version", static_cast<std::int64_t>(m_version)}});
+                    {{"table", m_options.table}, {"version", lastVersion()}});
         }
         m_reachable = reachable;
         m_options.onReachable(reachable);
@@ -146,8 +176,9 @@
 
     Store &m_store;
     Options m_options;
-    std::uint64_t m_version = 0;
-    /// Number of failed calls since the last successful read of the whole table.
+    /// The last state of the table that was reported; none before the first.
+    std::optional<StorePosition> m_position;
+    /// Number of failed calls and refused snapshots since the last successful read of the whole table.
     std::uint64_t m_consecutiveFailures = 0;
     bool m_synced = false;
     bool m_reachable = true;
