Keep what is known of targets when the store returns from a copy

What callers saw: requests to targets that were leaving or gone, since the copy lists them as ready. Change: rows are ordered by generation and version. A row of the copy replaces no newer one, and a target whose entry had been removed gets nothing until its entry is written again. A target that is missing from the copy stays for the grace period; one whose removal arrives in the feed goes at once. An announced shutdown outlives the removal of the entry, but still not the replacement by another incarnation, as TargetFollowerTest requires.

--- a/src/gateway/targetbalancer.cpp
+++ b/src/gateway/targetbalancer.cpp
@@ -26,9 +26,13 @@
 {
 }
 
-void TargetBalancer::replaceAll(std::vector<TargetListing> listings, Instant now, std::span<const std::string> unusableNames)
+void TargetBalancer::replaceAll(std::vector<TargetListing> listings,
+                                Instant now,
+                                std::span<const std::string> unusableNames,
+                                std::span<const std::string> unchangedNames)
 {
     std::set<std::string> present(unusableNames.begin(), unusableNames.end());
+    present.insert(unchangedNames.begin(), unchangedNames.end());
     for (TargetListing &listing : listings) {
         present.insert(listing.name());
         updateListing(std::move(listing), now);
@@ -43,7 +47,7 @@
         }
     }
     for (const std::string &name : missing) {
-        removeListing(name, now);
+        removeTarget(findByName(name), listUnreliable(now), now);
     }
 }
 
@@ -106,24 +110,35 @@
     }
 }
 
-bool TargetBalancer::listUnreliable(Instant now) const
+bool TargetBalancer::removalsUnreliable(Instant now) const
 {
     return !m_storeReachable || (m_storeReachableSince && now - *m_storeReachableSince < m_options.listGracePeriod);
 }
 
+bool TargetBalancer::listUnreliable(Instant now) const
+{
+    return removalsUnreliable(now) || (m_storeReturnedAt && now - *m_storeReturnedAt < m_options.listGracePeriod);
+}
+
 void TargetBalancer::removeListing(const std::string &name, Instant now)
 {
-    const auto found = findByName(name);
-    if (found == m_targets.end()) {
+    removeTarget(findByName(name), removalsUnreliable(now), now);
+}
+
+void TargetBalancer::removeTarget(std::map<std::string, TargetState>::iterator target, bool maybeIncomplete, Instant now)
+{
+    if (target == m_targets.end()) {
         return;
     }
-    if (listUnreliable(now) && !found->second.leaving()) {
-        if (!found->second.missingSince) {
-            found->second.missingSince = now;
+    if (maybeIncomplete && !target->second.leaving()) {
+        if (!target->second.missingSince) {
+            target->second.missingSince = now;
         }
         return;
     }
-    eraseTarget(found);
+    // Unlike an incarnation that was replaced by another, this one may be listed again.
+    target->second.directives.leaving = target->second.leaving();
+    eraseTarget(target);
 }
 
 void TargetBalancer::setStoreReachable(bool reachable, Instant now)
@@ -134,6 +149,11 @@
     m_storeReachable = reachable;
 }
 
+void TargetBalancer::setStoreReturned(Instant now)
+{
+    m_storeReturnedAt = now;
+}
+
 void TargetBalancer::removeExpired(Instant now)
 {
     if (listUnreliable(now)) {
@@ -142,7 +162,7 @@
     for (auto target = m_targets.begin(); target != m_targets.end();) {
         const auto next = std::next(target);
         if (target->second.missingSince) {
-            eraseTarget(target);
+            removeTarget(target, false, now);
         }
         target = next;
     }
--- a/src/gateway/targetbalancer.h
+++ b/src/gateway/targetbalancer.h
@@ -62,8 +62,12 @@
 
     explicit TargetBalancer(Options options);
 
-    /// Replaces the whole list. `unusableNames` has the names of the entries that are present but invalid.
-    void replaceAll(std::vector<TargetListing> listings, Instant now, std::span<const std::string> unusableNames = {});
+    /// Replaces the whole list. `unusableNames` has the names of the entries that are present but invalid, `unchangedNames` those of
+    /// entries that are present and change nothing.
+    void replaceAll(std::vector<TargetListing> listings,
+                    Instant now,
+                    std::span<const std::string> unusableNames = {},
+                    std::span<const std::string> unchangedNames = {});
 
     /// Takes the targets of exactly these failure domains out of service. Their outstanding requests continue.
     void setEvacuatedDomains(std::set<std::string> domains, Instant now);
@@ -72,7 +76,7 @@
     /// parts, back-off, outstanding requests or announced shutdown.
     void updateListing(TargetListing listing, Instant now);
 
-    /// Removes the entry of that name, unless the list may be incomplete; then it is only marked as missing.
+    /// Removes the entry of that name, unless the store is unreachable or was until a moment ago; then it is only marked as missing.
     void removeListing(const std::string &name, Instant now);
 
     /// Takes the target of that name out of service until its record is valid again. Its outstanding requests continue, since the record
@@ -82,6 +86,10 @@
     /// Sets whether the store answers. While it does not, and for the grace period afterwards, vanished entries are only marked as missing.
     void setStoreReachable(bool reachable, Instant now);
 
+    /// The store has come back from a copy. Entries that the list lacks are only marked as missing during the grace period; an entry that
+    /// is removed after the return is gone at once.
+    void setStoreReturned(Instant now);
+
     /// Removes missing entries whose grace period has passed. Call periodically.
     void removeExpired(Instant now);
 
@@ -192,6 +200,8 @@
     std::map<std::string, TargetState>::iterator findByName(const std::string &name);
     /// Erases the target and keeps its directives.
     void eraseTarget(std::map<std::string, TargetState>::iterator target);
+    /// Erases the target, whose entry is gone from the list, unless the list may be incomplete; then it is only marked as missing.
+    void removeTarget(std::map<std::string, TargetState>::iterator target, bool maybeIncomplete, Instant now);
     const Pool &pool(std::string_view service) const;
     /// The preferred targets and a random sample of the others.
     std::vector<const TargetState *>
@@ -200,7 +210,9 @@
     std::vector<RankedTarget> rankTargets(const PlacementRequest &request, bool backedOff, Instant now) const;
     /// The targets that requests with the same shared prompt parts prefer, by rendezvous hashing.
     std::vector<const TargetState *> preferredTargets(const Pool &pool, std::span<const PromptPart> prompt) const;
-    /// True while the list may be incomplete, because the store is unreachable or was until a moment ago.
+    /// True while entries may have been removed only because the store is unreachable or was until a moment ago.
+    bool removalsUnreliable(Instant now) const;
+    /// True while the list may be incomplete for that reason, or because the store came back from a copy a moment ago.
     bool listUnreliable(Instant now) const;
 
     Options m_options;
@@ -216,6 +228,7 @@
     std::set<std::string> m_evacuated;
     bool m_storeReachable = true;
     std::optional<Instant> m_storeReachableSince;
+    std::optional<Instant> m_storeReturnedAt;
 };
 
 }
--- a/src/gateway/targetfollower.cpp
+++ b/src/gateway/targetfollower.cpp
@@ -9,6 +9,13 @@
 
 namespace bamboohold {
 
+namespace {
+
+/// How long removed rows are remembered; longer than the age of a copy from which the store may come back.
+constexpr Duration s_removedRowRetention = std::chrono::minutes(2);
+
+}
+
 TargetFollower::TargetFollower(TargetBalancer &balancer, RelaySelector &relaySelector, Metrics &metrics, Options options)
     : m_balancer(balancer)
     , m_relaySelector(relaySelector)
@@ -17,17 +24,54 @@
 {
 }
 
-void TargetFollower::beginGeneration(StorePosition, Instant)
+void TargetFollower::beginGeneration(StorePosition first, Instant now)
 {
+    const bool returned = first.generation > m_generation.value_or(0);
+    m_generation = first.generation;
+    if (returned) {
+        m_copyVersion = first.version;
+        m_balancer.setStoreReturned(now);
+    }
+}
+
+bool TargetFollower::supersededBeforeReturn(const StoredRow &row) const
+{
+    const auto known = m_newest.find(row.address.key);
+    if (row.version > m_copyVersion || known == m_newest.end() || known->second.position.generation >= m_generation.value_or(0)) {
+        return false;
+    }
+    return known->second.removedAt || known->second.position.version >= row.version;
+}
+
+void TargetFollower::recordMissing(const std::set<std::string> &present, Instant now)
+{
+    for (auto &[name, newest] : m_newest) {
+        if (!present.contains(name) && !newest.removedAt) {
+            newest.removedAt = now;
+        }
+    }
+    std::erase_if(m_newest, [&present, now](const auto &entry) {
+        return !present.contains(entry.first) && now - *entry.second.removedAt > s_removedRowRetention;
+    });
 }
 
 void TargetFollower::applyTable(std::span<const StoredRow> rows, Instant now)
 {
     std::vector<TargetListing> listings;
     std::vector<std::string> unusable;
-    m_newestVersions.clear();
+    std::vector<std::string> unchanged;
+    std::set<std::string> present;
     for (const StoredRow &row : rows) {
-        m_newestVersions[row.address.key] = row.version;
+        present.insert(row.address.key);
+        if (supersededBeforeReturn(row)) {
+            unchanged.push_back(row.address.key);
+            const absl::StatusOr<TargetListing> copied = m_options.decodeListing(row);
+            if (copied.ok() && copied->leaving) {
+                m_balancer.markLeaving(copied->incarnation);
+            }
+            continue;
+        }
+        m_newest[row.address.key] = {.position = {.generation = m_generation.value_or(0), .version = row.version}};
         std::optional<TargetListing> listing = readListing(row);
         if (listing) {
             listings.push_back(*std::move(listing));
@@ -35,11 +79,12 @@
             unusable.push_back(row.address.key);
         }
     }
-    std::erase_if(m_unusableReasons, [this](const auto &entry) {
-        return !m_newestVersions.contains(entry.first);
+    recordMissing(present, now);
+    std::erase_if(m_unusableReasons, [&present](const auto &entry) {
+        return !present.contains(entry.first);
     });
     updateUnusableMetric();
-    m_balancer.replaceAll(std::move(listings), now, unusable);
+    m_balancer.replaceAll(std::move(listings), now, unusable, unchanged);
 }
 
 void TargetFollower::applyChange(const StoredRow &row, Instant now)
@@ -48,15 +93,19 @@
     if (row.version == 0) {
         logLine(Severity::Info, "target.unlisted", {{"target", name}});
         recordUsable(name);
+        if (const auto known = m_newest.find(name); known != m_newest.end()) {
+            known->second.removedAt = now;
+        }
         m_balancer.removeListing(name, now);
         m_relaySelector.removeTargetRelay(name);
         return;
     }
-    std::uint64_t &newest = m_newestVersions[name];
-    if (row.version < newest) {
+    const StorePosition position{.generation = m_generation.value_or(0), .version = row.version};
+    NewestRow &newest = m_newest[name];
+    if (position < newest.position) {
         return;
     }
-    newest = row.version;
+    newest = {.position = position};
     std::optional<TargetListing> listing = readListing(row);
     if (!listing) {
         m_balancer.markUnusable(name);
--- a/src/gateway/targetfollower.h
+++ b/src/gateway/targetfollower.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 
@@ -22,8 +23,11 @@
 /// target out of service at once: otherwise a target whose row was valid before would get requests on the strength of a record that no
 /// longer exists.
 ///
-/// Rows of the same name are ordered by the store's version, not by the start time in them, since the clock of a target's host may be set
-/// back. Otherwise a late copy of an older row could bring an earlier incarnation back.
+/// Rows of the same name are ordered by the store's generation and version, not by the start time in them, since the clock of a target's
+/// host may be set back. Otherwise a late copy of an older row could bring an earlier incarnation back.
+///
+/// When the store has come back from a copy, its rows may be older than what is known. Until a row is written in the new generation, it
+/// replaces no newer row of its name, and a target whose row had been removed gets no requests.
 class TargetFollower
 {
 public:
@@ -43,10 +47,22 @@
     /// Replaces the list by a consistent read of the whole table.
     void applyTable(std::span<const StoredRow> rows, Instant now);
 
-    /// Applies a changed row; version 0 means that it was removed. A row older than the newest one seen under its name is ignored.
+    /// Applies a row that changed in the current generation; version 0 means that it was removed. A row older than the newest one seen
+    /// under its name is ignored.
     void applyChange(const StoredRow &row, Instant now);
 
 private:
+    /// The newest row seen under a name.
+    struct NewestRow {
+        StorePosition position;
+        /// When the list was first seen without the row.
+        std::optional<Instant> removedAt;
+    };
+
+    /// True if the row was in the copy from which the store came back, and what is known of its name is as new or newer.
+    bool supersededBeforeReturn(const StoredRow &row) const;
+    /// Marks the rows that the list no longer has, and forgets those that it has not had for long.
+    void recordMissing(const std::set<std::string> &present, Instant now);
     /// The row's listing; none when the row is invalid, which is logged and counted.
     std::optional<TargetListing> readListing(const StoredRow &row);
     void recordUnusable(const std::string &name, const std::string &reason);
@@ -57,8 +73,12 @@
     RelaySelector &m_relaySelector;
     Metrics &m_metrics;
     Options m_options;
-    /// The newest version seen of each row; removed rows are included until the next read of the whole table.
-    std::map<std::string, std::uint64_t> m_newestVersions;
+    /// By name, removed rows included.
+    std::map<std::string, NewestRow> m_newest;
+    /// The generation of the rows being applied; none before the first read of the whole table.
+    std::optional<StoreGeneration> m_generation;
+    /// Rows up to this version may be from the copy from which the store came back.
+    std::uint64_t m_copyVersion = 0;
     /// The names of invalid rows and the reason that was logged last. Rows are rewritten every second, and only changes are logged.
     std::map<std::string, std::string> m_unusableReasons;
 };
