Keep evacuations when the store returns from a copy

Cause: states were ordered by version alone and replaced each other completely. Change: states are ordered by generation and version, also between peers; a notice without a generation counts as 0. A domain that was evacuated in an earlier generation stays so until its order is seen or removed in the new one, or for 5 s. The state in force, which peers get, does not include these domains, and is announced whenever its generation or its orders change.

--- a/src/gateway/evacuationfollower.cpp
+++ b/src/gateway/evacuationfollower.cpp
@@ -52,8 +52,12 @@
 
 void EvacuationFollower::commitStoreVersion(std::uint64_t version, Instant now)
 {
+    const std::optional<Evacuations::State> before = inForce();
     if (m_evacuations.commitStoreVersion(version, now)) {
         activate("store", now);
+    }
+    // An order that is written again may change nothing here, but a peer without the store drops the domain if it does not hear of it.
+    if (!before || before->generation != inForce()->generation || before->domains != inForce()->domains) {
         m_options.announce(*inForce());
     }
 }
@@ -74,12 +78,12 @@
 
 void EvacuationFollower::activate(std::string_view source, Instant now)
 {
-    const Evacuations::State &state = *inForce();
+    const std::set<std::string> &domains = m_evacuations.domains();
     logLine(Severity::Info,
             "evacuations.in_force",
-            {{"domains", absl::StrJoin(state.domains, ",")}, {"version", static_cast<std::int64_t>(state.version)}, {"source", source}});
-    m_metrics.gauge("domains_evacuated", {.name = "host", .value = m_options.host}, static_cast<std::int64_t>(state.domains.size()));
-    m_balancer.setEvacuatedDomains(m_evacuations.domains(), now);
+            {{"domains", absl::StrJoin(domains, ",")}, {"version", static_cast<std::int64_t>(inForce()->version)}, {"source", source}});
+    m_metrics.gauge("domains_evacuated", {.name = "host", .value = m_options.host}, static_cast<std::int64_t>(domains.size()));
+    m_balancer.setEvacuatedDomains(domains, now);
 }
 
 }
--- a/src/membership/evacuationnotice.cpp
+++ b/src/membership/evacuationnotice.cpp
@@ -5,6 +5,7 @@
 wire::EvacuationNotice toWire(const Evacuations::State &state)
 {
     wire::EvacuationNotice notice;
+    notice.set_generation(state.generation);
     notice.set_version(state.version);
     for (const std::string &domain : state.domains) {
         notice.add_domains(domain);
@@ -14,7 +15,7 @@
 
 Evacuations::State fromWire(const wire::EvacuationNotice &notice)
 {
-    return {.version = notice.version(), .domains = {notice.domains().begin(), notice.domains().end()}};
+    return {.generation = notice.generation(), .version = notice.version(), .domains = {notice.domains().begin(), notice.domains().end()}};
 }
 
 }
--- a/src/membership/evacuations.cpp
+++ b/src/membership/evacuations.cpp
@@ -4,8 +4,9 @@
 
 namespace bamboohold {
 
-void Evacuations::beginGeneration(StoreGeneration)
+void Evacuations::beginGeneration(StoreGeneration generation)
 {
+    m_storeGeneration = generation;
 }
 
 void Evacuations::replaceStoreDomains(std::set<std::string> domains)
@@ -19,37 +20,55 @@
         m_storeDomains.insert(domain);
     } else {
         m_storeDomains.erase(domain);
+        if (m_inForce && m_storeGeneration >= m_inForce->generation) {
+            m_unsettled.erase(domain);
+        }
     }
 }
 
-bool Evacuations::commitStoreVersion(std::uint64_t version, Instant)
+bool Evacuations::commitStoreVersion(std::uint64_t version, Instant now)
 {
-    return adoptIfNewer({.version = version, .domains = m_storeDomains});
+    return adoptIfNewer({.generation = m_storeGeneration, .version = version, .domains = m_storeDomains}, now);
 }
 
-bool Evacuations::applyPeerState(const State &state, Instant)
+bool Evacuations::applyPeerState(const State &state, Instant now)
 {
-    return adoptIfNewer(state);
+    return adoptIfNewer(state, now);
 }
 
-bool Evacuations::settle(Instant)
+bool Evacuations::settle(Instant now)
 {
-    return false;
+    if (m_unsettled.empty() || now - m_generationSeenAt < s_settlingTime) {
+        return false;
+    }
+    m_unsettled.clear();
+    return updateDomains();
 }
 
-std::set<std::string> Evacuations::domains() const
+bool Evacuations::adoptIfNewer(const State &state, Instant now)
 {
-    return m_inForce ? m_inForce->domains : std::set<std::string>();
+    if (m_inForce && state.position() <= m_inForce->position()) {
+        return updateDomains();
+    }
+    const bool first = !m_inForce;
+    if (m_inForce && state.generation > m_inForce->generation) {
+        m_unsettled = m_evacuated;
+        m_generationSeenAt = now;
+    }
+    m_inForce = state;
+    for (const std::string &domain : state.domains) {
+        m_unsettled.erase(domain);
+    }
+    return updateDomains() || first;
 }
 
-bool Evacuations::adoptIfNewer(const State &state)
+bool Evacuations::updateDomains()
 {
-    if (m_inForce && state.version <= m_inForce->version) {
-        return false;
+    std::set<std::string> domains = m_unsettled;
+    if (m_inForce) {
+        domains.insert(m_inForce->domains.begin(), m_inForce->domains.end());
     }
-    const bool differs = !m_inForce || m_inForce->domains != state.domains;
-    m_inForce = state;
-    return differs;
+    return std::exchange(m_evacuated, domains) != domains;
 }
 
 }
