--- a/src/gateway/evacuationfollower.cpp
+++ b/src/gateway/evacuationfollower.cpp
@@ -27,6 +27,11 @@
     return *std::move(domain);
 }
 
+void EvacuationFollower::beginGeneration(StoreGeneration generation)
+{
+    m_evacuations.beginGeneration(generation);
+}
+
 void EvacuationFollower::applyTable(std::span<const StoredRow> rows)
 {
     std::set<std::string> domains;
@@ -47,27 +52,38 @@
 
 void EvacuationFollower::commitStoreVersion(std::uint64_t version, Instant now)
 {
-    if (m_evacuations.commitStoreVersion(version)) {
+    const std::optional<Evacuations::State> before = inForce();
+    if (m_evacuations.commitStoreVersion(version, now)) {
         activate("store", now);
+    }
+    // An order that is written again may change nothing here, but a peer without the store drops the domain if it does not hear of it.
+    if (!before || before->generation != inForce()->generation || before->domains != inForce()->domains) {
         m_options.announce(*inForce());
     }
 }
 
 void EvacuationFollower::applyPeerState(const Evacuations::State &state, Instant now)
 {
-    if (m_evacuations.applyPeerState(state)) {
+    if (m_evacuations.applyPeerState(state, now)) {
         activate("peer", now);
     }
 }
 
+void EvacuationFollower::settle(Instant now)
+{
+    if (m_evacuations.settle(now)) {
+        activate("settled", now);
+    }
+}
+
 void EvacuationFollower::activate(std::string_view source, Instant now)
 {
-    const Evacuations::State &state = *inForce();
+    const std::set<std::string> &domains = m_evacuations.domains();
     logLine(Severity::Info,
             "evacuations.in_force",
-            {{"domains", absl::StrJoin(state.domains, ",")}, {"version", static_cast<std::int64_t>(state.version)}, {"source", source}});
-    m_metrics.gauge("domains_evacuated", {.name = "host", .value = m_options.host}, static_cast<std::int64_t>(state.domains.size()));
-    m_balancer.setEvacuatedDomains(state.domains, now);
+            {{"domains", absl::StrJoin(domains, ",")}, {"version", static_cast<std::int64_t>(inForce()->version)}, {"source", source}});
+    m_metrics.gauge("domains_evacuated", {.name = "host", .value = m_options.host}, static_cast<std::int64_t>(domains.size()));
+    m_balancer.setEvacuatedDomains(domains, now);
 }
 
 }
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -328,6 +328,10 @@
                 .onVersion =
                     [this](std::uint64_t version) {
                         m_evacuations.commitStoreVersion(version, steadyNow());
+                    },
+                .onGeneration =
+                    [this](StorePosition first) {
+                        m_evacuations.beginGeneration(first.generation);
                     }};
     }
 
@@ -392,6 +396,10 @@
                 .onReachable =
                     [this](bool reachable) {
                         m_gateway.board().setStoreReachable(reachable, steadyNow());
+                    },
+                .onGeneration =
+                    [this](StorePosition first) {
+                        m_targetFollower.beginGeneration(first, steadyNow());
                     }};
     }
 
@@ -400,6 +408,7 @@
         for (unsigned round = 0;; ++round) {
             co_await pause(s_maintenanceInterval);
             m_gateway.board().removeExpired(steadyNow());
+            m_evacuations.settle(steadyNow());
             m_gateway.dropStaleTargets();
             if (round % s_roundsPerLoadRenewal == 0) {
                 m_gateway.chooser().refreshLoads();
