Keep routers counted when the store returns from an older copy

What would be seen: the copy lacks rows of live routers, the count falls, and every router takes a larger share of the common retry budget and of the budgets until all have written again, up to an interval of 4 s. A router that has left may be counted, connected to and asked for loans again for up to 12 s; with a row that says 0, for as long as the row exists. Corrupt rows were not logged after a return until the counter had caught up.

- LiveRouters (pure) decides from rows, generation and store time.
Routers counted before a return stay counted for one interval and s_rewriteMargin (4 s), unless their row goes missing in the new generation after a read showed it there.
- A row that this router saw removed does not count in a later generation unless it was written after the removal.
A row that says 0 there counts once its router writes a time, within an interval.
- A read that shows a later generation than the last write makes the router write and count again at once, once for each generation.
A read of an earlier generation than any answer is not counted; it is tried again after a quarter of the interval.
- Invalid rows are logged by generation and version.

Not covered: a router that left between this router's last read and the return, whose row the copy has, counts until its row times out; one that died before the return is counted 8 s from the return at the most. The time is the store's: were its clock set back with the copy, both would last longer.

--- a/src/membership/routerregistry.h
+++ b/src/membership/routerregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock/steadytime.h"
+#include "membership/liverouters.h"
 #include "net/endpoint.h"
 #include "net/pause.h"
 #include "operations/log.h"
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bamboohold {
@@ -38,6 +40,7 @@
     RouterRegistry(Store &store, Options options)
         : m_store(store)
         , m_options(std::move(options))
+        , m_live({.interval = m_options.interval, .rowTimeout = m_options.rowTimeout})
     {
     }
 
@@ -55,6 +58,9 @@
                 simultaneousStart = false;
             }
             const bool rowsCounted = co_await countRouters();
+            if (written && rowsCounted && std::exchange(m_rowLost, false)) {
+                continue;
+            }
             if (written && rowsCounted) {
                 co_await pause(m_options.interval);
             } else {
@@ -104,6 +110,7 @@
         if (verdict.ok()) {
             m_storeTime = verdict->storeTime;
             m_storeTimeAt = steadyNow();
+            m_generation = std::max(m_generation, verdict->generation);
         }
         co_return verdict.ok();
     }
@@ -112,17 +119,14 @@
     {
         const RowAddress own = ownAddress();
         const absl::StatusOr<RowsSnapshot> read = co_await m_store.read(own.table, own.part);
-        if (!read.ok()) {
+        if (!read.ok() || read->generation < m_generation) {
             co_return false;
         }
+        m_rowLost = read->generation > m_generation;
+        m_generation = read->generation;
         m_storeTime = read->storeTime;
         m_storeTimeAt = steadyNow();
-        std::vector<std::string> live;
-        for (const StoredRow &row : read->rows) {
-            if (isLive(row, read->storeTime)) {
-                live.push_back(row.address.key);
-            }
-        }
+        const std::vector<std::string> live = m_live.update(validRows(*read), read->generation, read->storeTime);
         const std::size_t routers = std::max<std::size_t>(live.size(), 1);
         if (routers != m_routers) {
             logLine(Severity::Info,
@@ -135,22 +139,24 @@
         co_return true;
     }
 
-    /// Whether a row belongs to a live router. A row whose key is not an address, or whose time is not a number or far in the future, was
-    /// written by something else. Every router would count it, connect to it and ask it for loans for as long as the row exists.
-    bool isLive(const StoredRow &row, StoreTimeMs now) const
+    /// A row whose key is not an address, or whose time is not a number, was written by something else. Every router would count it,
+    /// connect to it and ask it for loans for as long as the row exists. So would it with a time far in the future, see LiveRouters.
+    std::vector<LiveRouters::Row> validRows(const RowsSnapshot &read)
     {
-        StoreTimeMs writtenAt = 0;
-        const bool valid = absl::SimpleAtoi(row.value, &writtenAt) && endpointFrom(row.address.key).has_value();
-        if (!valid) {
-            if (row.version > m_newestInvalidVersion) {
-                m_newestInvalidVersion = row.version;
+        std::vector<LiveRouters::Row> rows;
+        for (const StoredRow &row : read.rows) {
+            StoreTimeMs writtenAt = 0;
+            if (absl::SimpleAtoi(row.value, &writtenAt) && endpointFrom(row.address.key).has_value()) {
+                rows.push_back({.router = row.address.key, .writtenAt = writtenAt});
+                continue;
+            }
+            const StorePosition position{.generation = read.generation, .version = row.version};
+            if (position > m_newestInvalid) {
+                m_newestInvalid = position;
                 logLine(Severity::Error, "routers.row_unreadable", {{"row", row.address.key}});
             }
-            return false;
         }
-        const StoreTimeMs rowTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.rowTimeout).count();
-        // A router writes 0 until it knows the store's time, so such a row counts as just written.
-        return writtenAt == 0 || (writtenAt >= now - rowTimeout && writtenAt <= now + rowTimeout);
+        return rows;
     }
 
     StoreTimeMs estimatedStoreTime() const
@@ -166,8 +172,13 @@
     StoreTimeMs m_storeTime = 0;
     Instant m_storeTimeAt{};
     std::size_t m_routers = 1;
-    /// The newest version among the invalid rows that were logged.
-    mutable std::uint64_t m_newestInvalidVersion = 0;
+    LiveRouters m_live;
+    /// The latest generation among the answers of the store.
+    StoreGeneration m_generation = 0;
+    /// True if a read has shown a later generation than the last write.
+    bool m_rowLost = false;
+    /// The newest of the invalid rows that were logged.
+    StorePosition m_newestInvalid;
     bool m_hasCounted = false;
     bool m_deregistering = false;
 };
