--- a/src/store/rowstore.h
+++ b/src/store/rowstore.h
@@ -65,7 +65,12 @@
     StoreGeneration generation = 0;
     std::uint64_t version = 0;
 
-    auto operator<=>(const StorePosition &) const = default;
+    bool operator==(const StorePosition &) const = default;
+
+    auto operator<=>(const StorePosition &other) const
+    {
+        return std::tie(generation, version) <=> std::tie(other.generation, other.version);
+    }
 };
 
 /// Time of the store's monotonic clock, in milliseconds. The clock has its own origin and keeps running while hosts are suspended.
