--- a/src/budget/holdingpolicy.h
+++ b/src/budget/holdingpolicy.h
@@ -55,6 +55,9 @@
     /// rate that would use up the unused tokens within `growthSpan`, because a demand of a few requests a second is known only roughly.
     double growthDemandFactor = 1.6;
     Duration growthSpan = std::chrono::seconds(12);
+    /// The store may return from a copy of itself that is at most this old. What a holder draws stays within what it has announced in every
+    /// copy that the store may still return from.
+    Duration maxCopyAge = std::chrono::seconds(15);
     /// Whether a budget is held by a few assigned routers instead of by all, and whether routers lend each other tokens. Without loans each
     /// router serves only from the part that it holds.
     bool limitHolders = true;
