A router does not take its own older checkpoint for a successor's

What callers saw: from the store's return from a copy on, every router refused all requests that cost tokens, until it was restarted (`checkpoint.fenced` 0.1 to 0.2 s after the return, on every router whose log of that moment is kept). Cause: the conditional write of a checkpoint is answered with the current row; one that isn't the acknowledged checkpoint counted as written by a process that had taken over the address. After a return it is this process's own older row, its dead predecessor's, or none.

Change: a checkpoint names the store's generation. When the answer shows a later generation, a row of an earlier one is replaced by the next write, and only a row of the current generation fences. A successor does not rely on a checkpoint of an earlier generation, because the store may have lost a later one: all that its predecessor held counts as spent then. Checkpoints of predecessors that were read before the return are final and stay valid.

--- a/src/budget/checkpointrow.cpp
+++ b/src/budget/checkpointrow.cpp
@@ -25,6 +25,7 @@
     }
     boost::json::object object{{"incarnation", checkpoint.incarnation},
                                {"sequence", checkpoint.sequence},
+                               {"generation", checkpoint.generation},
                                {"baseline_ms", checkpoint.baseline},
                                {"teams", std::move(teams)}};
     if (checkpoint.diedBefore) {
@@ -67,6 +68,9 @@
     Checkpoint checkpoint{.incarnation = std::string(object.at("incarnation").as_string()),
                           .sequence = static_cast<std::uint64_t>(countFrom(object.at("sequence"))),
                           .baseline = timeFrom(object.at("baseline_ms"))};
+    if (const auto *generation = object.if_contains("generation")) {
+        checkpoint.generation = static_cast<StoreGeneration>(countFrom(*generation));
+    }
     if (const auto *died = object.if_contains("died_before_ms")) {
         checkpoint.diedBefore = timeFrom(*died);
     }
--- a/src/budget/checkpointrow.h
+++ b/src/budget/checkpointrow.h
@@ -45,6 +45,8 @@
 struct Checkpoint {
     std::string incarnation;
     std::uint64_t sequence = 0;
+    /// The store's generation known to the process. In a later one the checkpoint may be older than what the process relied on.
+    StoreGeneration generation = 0;
     /// Store time no later than the moment at which the process made the checkpoint.
     StoreTimeMs baseline = 0;
     /// Store time by which the process was certainly dead; none while unknown.
--- a/src/budget/holdercheckpoint.cpp
+++ b/src/budget/holdercheckpoint.cpp
@@ -37,11 +37,20 @@
     }
     m_read = true;
     const auto found = std::ranges::find(read.rows, address(), &StoredRow::address);
-    adopt(found == read.rows.end() ? nullptr : &*found);
+    adopt(found == read.rows.end() ? nullptr : &*found, read.generation);
 }
 
-void HolderCheckpoint::adopt(const StoredRow *row)
+void HolderCheckpoint::beginGeneration(StoreGeneration generation)
 {
+    m_generation = generation;
+    for (Checkpoint &checkpoint : m_predecessors) {
+        checkpoint.generation = generation;
+    }
+}
+
+void HolderCheckpoint::adopt(const StoredRow *row, StoreGeneration generation)
+{
+    m_generation = generation;
     m_version = row == nullptr ? 0 : row->version;
     m_predecessors.clear();
     if (row == nullptr) {
@@ -52,6 +61,9 @@
     if (!seen.own.incarnation.empty()) {
         m_predecessors.insert(m_predecessors.begin(), std::move(seen.own));
     }
+    std::erase_if(m_predecessors, [generation](const Checkpoint &checkpoint) {
+        return checkpoint.generation != generation;
+    });
     m_predecessors.resize(std::min(m_predecessors.size(), s_maxPredecessors));
 }
 
@@ -69,7 +81,8 @@
         m_inFlight->sentAt = now;
         return m_inFlight->transaction;
     }
-    CheckpointRow row{.own = {.incarnation = m_options.incarnation, .sequence = ++m_sequence, .baseline = minStoreTime(now)}};
+    CheckpointRow row{
+        .own = {.incarnation = m_options.incarnation, .sequence = ++m_sequence, .generation = m_generation, .baseline = minStoreTime(now)}};
     if (predecessorsFenced()) {
         // The first write contains no commitments, because the store's time, and so their baseline, is not known yet.
         row.own.teams = teams;
@@ -87,6 +100,10 @@
     if (!m_inFlight) {
         return false;
     }
+    const bool returned = verdict.generation > m_generation;
+    if (returned && (verdict.applied || predecessorsFenced())) {
+        beginGeneration(verdict.generation);
+    }
     if (verdict.applied) {
         acknowledge(verdict, verdict.version, now);
         return true;
@@ -100,11 +117,14 @@
         return true;
     }
     m_inFlight.reset();
-    if (predecessorsFenced()) {
+    if (!predecessorsFenced()) {
+        adopt(row, verdict.generation);
+    } else if (row == nullptr ? returned : seen.generation < m_generation) {
+        // The store has returned from a copy that has an older row of this address, or none. The next write replaces it.
+        m_version = row == nullptr ? 0 : row->version;
+    } else {
         // Only a process that could bind this address writes this row.
         m_fenced = true;
-    } else {
-        adopt(row);
     }
     return false;
 }
--- a/src/budget/holdercheckpoint.h
+++ b/src/budget/holdercheckpoint.h
@@ -23,7 +23,8 @@
 ///   suspended router stands still, so that it commits less than its successor assumes, never more;
 /// - the successor's first write is conditional on the row that it read, so it never relies on an outdated row, and it fences off later
 ///   writes of the predecessor;
-/// - the successor could bind the address, so its predecessor was dead when it started.
+/// - the successor could bind the address, so its predecessor was dead when it started;
+/// - a checkpoint of an earlier generation of the store is not relied on, because the store may have lost a later one.
 ///
 /// Performs no I/O and reads no clock: the caller passes in times and the store's verdicts, and sends the transactions.
 class HolderCheckpoint
@@ -132,13 +133,17 @@
     };
 
     StoreTimeMs minStoreTime(Instant now) const;
-    void adopt(const StoredRow *row);
+    void adopt(const StoredRow *row, StoreGeneration generation);
+    /// The store has returned from a copy. Checkpoints of dead processes that were read before are final and stay valid.
+    void beginGeneration(StoreGeneration generation);
     void acknowledge(const RowTransactionResult &verdict, std::uint64_t version, Instant now);
 
     Options m_options;
     bool m_read = false;
     bool m_fenced = false;
     std::uint64_t m_version = 0;
+    /// The newest generation that the store has shown.
+    StoreGeneration m_generation = 0;
     std::uint64_t m_sequence = 0;
     std::optional<TimedCheckpoint> m_acknowledged;
     std::optional<Write> m_inFlight;
