Budgets survive a return of the store from an older copy

Cause: holdings trusted what the store had acknowledged and compared versions across a return. Ruled out: the plan's prepaid amount, which follows the operator's own version.

Change, without a further service or any call between routers: - Every transaction of a team's part is conditional on a row whose key has the store's generation, which the first write of a generation creates and which replaces the former one. A write planned before the return cannot match a version that was given out again with other content. - A holder that sees a later generation keeps what it certainly holds, drops its flush in flight, and writes its row again; the same transaction corrects the pool by the difference to what the copy counts there, so that the order of the holders does not matter. What it drew without knowing of the return is given back. - A holder announces in its row the most that it may draw (`ceiling`, for the prepaid amount at that moment, with its share of later top-ups), and keeps to all announcements of the last 15 s (`maxCopyAge`). After a return the others leave that much in the pool until the holder has written its row again, whether it lives, is cut off or is dead; a successor counts it as spent. Rows that were stale when the copy was made reserve nothing. - For 5 s after it sees a return a holder draws nothing, for routers whose first row of the team was lost and which no row shows.

Not covered: a holder whose first row of a team was lost and that dies or stays cut off before it writes it again; a holder stale in the copy that drew after the copy was made and was cut off again; a second return within 15 s of a predecessor recovered across the first one; copies older than 15 s; routers of an older build beside new ones.

--- a/src/budget/holdingpolicy.h
+++ b/src/budget/holdingpolicy.h
@@ -58,6 +58,12 @@
     /// The store may return from a copy of itself that is at most this old. What a holder draws stays within what it has announced in every
     /// copy that the store may still return from.
     Duration maxCopyAge = std::chrono::seconds(15);
+    /// After the store has returned from a copy, a holder draws nothing for this long, so that routers whose first rows were lost write
+    /// them again. Idle holders write every `refreshInterval`.
+    Duration restoreTime = std::chrono::seconds(5);
+    /// A holder announces that it may draw this multiple of its part of the pool by demand, or so many equal parts if that is more.
+    double headroomFactor = 1.25;
+    double headroomEqualParts = 3;
     /// Whether a budget is held by a few assigned routers instead of by all, and whether routers lend each other tokens. Without loans each
     /// router serves only from the part that it holds.
     bool limitHolders = true;
--- a/src/budget/holdingrows.cpp
+++ b/src/budget/holdingrows.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::string_view s_holderPrefix = "holder/";
+constexpr std::string_view s_generationPrefix = "generation/";
 /// Larger than any budget, so that a pool with this allocation has nothing free.
 constexpr Tokens s_fullyAllocated = s_maxStoredValue + 1;
 
@@ -38,6 +39,12 @@
         return readInteger(name, 0);
     }
 
+    /// Reads a field that rows of earlier versions do not have.
+    std::int64_t readCountOr(std::string_view name, std::int64_t absent)
+    {
+        return m_object.contains({name.data(), name.size()}) ? readCount(name) : absent;
+    }
+
     /// The store's clock has its own origin, so times may be negative.
     StoreTimeMs readTime(std::string_view name)
     {
@@ -87,6 +94,16 @@
 
 }
 
+std::string generationKey(StoreGeneration generation)
+{
+    return std::string(s_generationPrefix).append(std::to_string(generation));
+}
+
+bool isGenerationKey(std::string_view key)
+{
+    return key.starts_with(s_generationPrefix);
+}
+
 std::string holderKey(std::string_view holder)
 {
     return std::string(s_holderPrefix).append(holder);
@@ -101,7 +118,11 @@
                   .settled = reader.readCount("settled"),
                   .committed = reader.readCount("committed"),
                   .demand = reader.readCount("demand"),
-                  .writtenAt = reader.readTime("written_at_ms")};
+                  .writtenAt = reader.readTime("written_at_ms"),
+                  .generation = static_cast<StoreGeneration>(reader.readCountOr("generation", 0))};
+    row.draws = {.ceiling = reader.readCountOr("ceiling", row.granted),
+                 .prepaid = reader.readCountOr("prepaid", s_maxStoredValue),
+                 .share = reader.readCountOr("share", 0)};
     return reader.valid() ? row : HolderRow{};
 }
 
@@ -113,7 +134,11 @@
                                                       {"settled", row.settled},
                                                       {"committed", row.committed},
                                                       {"demand", row.demand},
-                                                      {"written_at_ms", row.writtenAt}});
+                                                      {"written_at_ms", row.writtenAt},
+                                                      {"generation", row.generation},
+                                                      {"ceiling", row.draws.ceiling},
+                                                      {"prepaid", row.draws.prepaid},
+                                                      {"share", row.draws.share}});
 }
 
 PoolRow poolRowFrom(const StoredRow &stored)
--- a/src/budget/holdingrows.h
+++ b/src/budget/holdingrows.h
@@ -3,6 +3,7 @@
 #include "clock/instant.h"
 #include "store/rowstore.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -15,9 +16,36 @@
 /// The key of a team's pool row, which contains the tokens that no router holds.
 inline constexpr std::string_view s_poolKey = "pool";
 
+/// Prefix of the key of the row that marks the store's generation in a team's part. It has the generation's number in its key, exists only
+/// in that generation, and every transaction is conditional on it: one that was planned in an earlier generation cannot match a version
+/// that was given out again.
+std::string generationKey(StoreGeneration generation);
+
+/// Whether the key is one that generationKey() returns.
+bool isGenerationKey(std::string_view key);
+
 /// The key of a holder's row.
 std::string holderKey(std::string_view holder);
 
+/// The most that a holder lets itself be granted while the store may still return from a copy with the row that says so. After a return,
+/// the others leave as much in the pool until the holder has written its row again.
+struct DrawLimit {
+    static constexpr std::int64_t s_wholeShare = 1000;
+
+    Tokens ceiling = 0;
+    /// The team's prepaid tokens when the row was written, and the part of later top-ups that the holder may draw, in thousandths.
+    Tokens prepaid = 0;
+    std::int64_t share = 0;
+
+    /// The most that may be granted when this much is prepaid.
+    Tokens most(Tokens nowPrepaid) const
+    {
+        return ceiling + std::max<Tokens>(0, nowPrepaid - prepaid) / s_wholeShare * share;
+    }
+
+    bool operator==(const DrawLimit &) const = default;
+};
+
 /// A holder's row in the store: what one router holds of a team's budget.
 struct HolderRow {
     std::string incarnation;
@@ -30,6 +58,9 @@
     Tokens demand = 0;
     /// Store time of the write, or a little earlier.
     StoreTimeMs writtenAt = 0;
+    /// The store's generation known to the writer.
+    StoreGeneration generation = 0;
+    DrawLimit draws;
 };
 
 /// A team's pool row in the store.
--- a/src/budget/ledgersynchronizer.h
+++ b/src/budget/ledgersynchronizer.h
@@ -69,6 +69,9 @@
 
     boost::asio::awaitable<void> waitUntilDue(TeamLedger::Entry &entry)
     {
+        if (!entry.holding.loaded()) {
+            co_return;
+        }
         const Instant now = steadyNow();
         const std::optional<Instant> due = entry.holding.nextFlush(m_options.routers(), now);
         const Duration wait = due ? *due - now : s_maxIdleWait;
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -1,6 +1,7 @@
 #include "budget/teamholding.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace bamboohold {
@@ -156,9 +157,11 @@
 
 Tokens TeamHolding::spentByPredecessor() const
 {
+    // A row of an earlier generation may be older than the last one that the process wrote.
+    const bool outdated = m_predecessor->generation < m_generation;
+    const Tokens held = outdated ? std::max(m_predecessor->granted, m_predecessor->draws.most(prepaid())) : m_predecessor->granted;
     // Nothing is known about a process that left no checkpoint, so all that it held counts as spent.
-    const Tokens granted = m_predecessor->granted;
-    return std::min(granted, m_checkpoint.maxSpentBy(m_predecessor->incarnation, m_options.team).value_or(granted));
+    return std::min(held, m_checkpoint.maxSpentBy(m_predecessor->incarnation, m_options.team).value_or(held));
 }
 
 std::optional<TeamHolding::Recovery> TeamHolding::recovery() const
@@ -258,32 +261,36 @@
 
 bool TeamHolding::handleRead(const RowsSnapshot &read, Instant now)
 {
-    if (read.version < m_seenVersion) {
+    if (read.position() < StorePosition{.generation = m_generation, .version = m_seenVersion}) {
         return false;
     }
+    if (read.generation > m_generation) {
+        beginGeneration(read.generation, now);
+    }
     m_seenVersion = read.version;
     setStoreTime(read.storeTime, now);
     m_lastRead = now;
     m_shortSinceRead = false;
     m_requestedSinceRead = false;
-    m_unusedByOthers = 0;
-    m_unusedByActive = 0;
-    m_demandOfActive = 0;
+    m_markVersion = 0;
+    m_outdatedMarks.clear();
     const StoredRow *own = nullptr;
     for (const StoredRow &row : read.rows) {
         if (row.address.key == s_poolKey) {
             adoptPoolRow(row);
+        } else if (isGenerationKey(row.address.key)) {
+            adoptMark(row);
         } else if (row.address == ownAddress()) {
             own = &row;
-        } else {
-            const HolderRow other = holderRowFrom(row);
-            const bool active = std::chrono::milliseconds(read.storeTime - other.writtenAt) < m_options.policy.staleAfter;
-            m_unusedByOthers += other.granted - other.committed;
-            m_unusedByActive += active ? other.granted - other.committed : 0;
-            m_demandOfActive += active ? other.demand : 0;
         }
     }
-    if (!m_inFlight && own != nullptr) {
+    countOthers(read);
+    if (!m_row && own != nullptr) {
+        dropEarlierDraw(*own);
+    }
+    if (m_restoring) {
+        adoptCopiedRow(own);
+    } else if (!m_inFlight && own != nullptr) {
         adoptOwnRow(*own);
     } else if (!m_inFlight && m_rowVersion != 0) {
         handleRowRemoved();
@@ -292,6 +299,151 @@
     return true;
 }
 
+void TeamHolding::countOthers(const RowsSnapshot &read)
+{
+    m_unusedByOthers = 0;
+    m_unusedByActive = 0;
+    m_demandOfActive = 0;
+    m_reservedForOthers = 0;
+    std::vector<HolderRow> outdated;
+    StoreTimeMs newestOutdated = 0;
+    for (const StoredRow &row : read.rows) {
+        if (row.address.key == s_poolKey || row.address == ownAddress() || isGenerationKey(row.address.key)) {
+            continue;
+        }
+        const HolderRow other = holderRowFrom(row);
+        const bool active = std::chrono::milliseconds(read.storeTime - other.writtenAt) < m_options.policy.staleAfter;
+        m_unusedByOthers += other.granted - other.committed;
+        m_unusedByActive += active ? other.granted - other.committed : 0;
+        m_demandOfActive += active ? other.demand : 0;
+        if (other.generation < m_generation) {
+            outdated.push_back(other);
+            newestOutdated = std::max(newestOutdated, other.writtenAt);
+        }
+    }
+    for (const HolderRow &other : outdated) {
+        // A holder that had been dead or cut off for a while when the copy was made has drawn nothing since.
+        const bool drew = std::chrono::milliseconds(newestOutdated - other.writtenAt) < m_options.policy.staleAfter;
+        m_reservedForOthers += drew ? std::max<Tokens>(0, other.draws.most(prepaid()) - other.granted) : 0;
+    }
+}
+
+void TeamHolding::adoptMark(const StoredRow &row)
+{
+    if (row.address.key == generationKey(m_generation)) {
+        m_markVersion = row.version;
+    } else {
+        m_outdatedMarks.push_back({.address = row.address, .version = row.version});
+    }
+}
+
+void TeamHolding::addGenerationMark(RowTransaction &transaction) const
+{
+    const RowAddress address{.table = std::string(s_budgetTable), .part = m_options.team, .key = generationKey(m_generation)};
+    transaction.conditions.push_back({.address = address, .version = m_markVersion});
+    if (m_markVersion != 0) {
+        return;
+    }
+    transaction.changes.push_back({.address = address, .value = std::string()});
+    for (const GenerationMark &mark : m_outdatedMarks) {
+        transaction.changes.push_back({.address = mark.address, .value = std::nullopt});
+    }
+}
+
+void TeamHolding::beginGeneration(StoreGeneration generation, Instant now)
+{
+    if (m_loaded) {
+        m_drawsFrom = now + m_options.policy.restoreTime;
+    }
+    // An answer to the flush in flight will not come, and both of its outcomes are possible. What it draws is not held, and what it
+    // returns, borrowed tokens included, may be held by others.
+    if (m_row) {
+        m_row->granted = granted();
+        m_restoring = true;
+    }
+    m_inFlight.reset();
+    m_generation = generation;
+    m_seenVersion = 0;
+    m_markVersion = 0;
+    m_pool = {};
+    m_poolVersion = 0;
+    m_rowVersion = 0;
+    m_predecessor.reset();
+    m_loaded = false;
+    m_lastFlush.reset();
+}
+
+void TeamHolding::dropEarlierDraw(const StoredRow &row)
+{
+    HolderRow seen = holderRowFrom(row);
+    if (seen.incarnation == m_options.incarnation && seen.generation < m_generation) {
+        // The first flush of this process, whose answer was lost with the earlier generation. It may have taken effect after the return.
+        m_row = std::move(seen);
+        m_row->granted = committed();
+        m_restoring = true;
+    }
+}
+
+void TeamHolding::adoptCopiedRow(const StoredRow *row)
+{
+    m_rowVersion = row == nullptr ? 0 : row->version;
+    m_countedInPool = 0;
+    if (row == nullptr) {
+        return;
+    }
+    const HolderRow seen = holderRowFrom(*row);
+    if (seen.incarnation == m_options.incarnation) {
+        m_countedInPool = seen.granted;
+        return;
+    }
+    if (seen.generation == m_generation) {
+        // Written since the return, so by a process that could bind this address.
+        m_fenced = true;
+        return;
+    }
+    // The row of a dead process that this one, or one in between, had recovered.
+    const auto recovered = m_spentByRecovered.find(seen.incarnation);
+    const Tokens spent = recovered != m_spentByRecovered.end() ? recovered->second : std::max(seen.granted, seen.draws.most(prepaid()));
+    m_countedInPool = seen.granted - spent;
+}
+
+Tokens TeamHolding::grantLimit(Instant now) const
+{
+    Tokens limit = std::numeric_limits<Tokens>::max();
+    for (const Announcement &announcement : m_announcements) {
+        if (!announcement.until || now < *announcement.until) {
+            limit = std::min(limit, announcement.limit.most(prepaid()));
+        }
+    }
+    if (m_predecessor && m_predecessor->generation == m_generation) {
+        limit = std::min(limit, m_predecessor->draws.most(prepaid()) - spentByPredecessor());
+    }
+    return limit;
+}
+
+std::int64_t TeamHolding::drawShare(std::size_t routers, Instant now) const
+{
+    const HoldingPolicy &policy = m_options.policy;
+    const double own = demand(now);
+    const double ofAll = own + static_cast<double>(m_demandOfActive);
+    const double ownPart = ofAll > 0 ? own / ofAll : 0;
+    const auto holders = static_cast<double>(std::max<std::size_t>(1, m_assignedCount.value_or(routers)));
+    const double equalParts = m_assigned ? policy.headroomEqualParts / holders : 0;
+    return fraction(std::min(1.0, std::max(equalParts, policy.headroomFactor * ownPart)), DrawLimit::s_wholeShare);
+}
+
+void TeamHolding::endAnnouncements(std::uint64_t flushSequence, Instant now)
+{
+    std::erase_if(m_announcements, [now](const Announcement &announcement) {
+        return announcement.until && *announcement.until <= now;
+    });
+    for (Announcement &announcement : m_announcements) {
+        if (announcement.flushSequence < flushSequence && !announcement.until) {
+            announcement.until = now + m_options.policy.maxCopyAge;
+        }
+    }
+}
+
 void TeamHolding::adoptPoolRow(const StoredRow &row)
 {
     if (row.version > m_poolVersion) {
@@ -382,7 +534,10 @@
     if (held >= fraction(policy.refillBelow, desired) && held >= m_waiting) {
         return 0;
     }
-    const Tokens change = std::min(keep - held, free);
+    if (now < m_drawsFrom) {
+        return 0;
+    }
+    const Tokens change = std::min({keep - held, drawableInPool(), grantLimit(now) - (m_row ? m_row->granted : 0)});
     const bool worthwhile = change >= fraction(policy.minChangeShare, desired) || held < m_waiting;
     return worthwhile ? std::max<Tokens>(0, change) : 0;
 }
@@ -405,7 +560,7 @@
     if (m_closing && closed()) {
         return std::nullopt;
     }
-    if (m_closing || held < m_waiting) {
+    if (m_closing || m_restoring || held < m_waiting) {
         return last + policy.urgentInterval;
     }
     if (m_inFlight || m_predecessor || (m_assigned && !m_row) || wantedChange(routers, now) != 0) {
@@ -423,15 +578,20 @@
     return last + (changed && !ample(now) ? policy.flushInterval : policy.refreshInterval);
 }
 
-HolderRow TeamHolding::rowAfter(Tokens change, Instant now) const
+HolderRow TeamHolding::rowAfter(Tokens change, std::size_t routers, Instant now) const
 {
+    const Tokens granted = (m_row ? m_row->granted : 0) + change;
+    const std::int64_t share = drawShare(routers, now);
+    const Tokens free = std::max<Tokens>(0, drawableInPool() - change);
     return {.incarnation = m_options.incarnation,
             .flushSequence = m_flushSequence,
-            .granted = (m_row ? m_row->granted : 0) + change,
+            .granted = granted,
             .settled = m_settled,
             .committed = committed(),
             .demand = static_cast<Tokens>(demand(now)),
-            .writtenAt = minStoreTime(now)};
+            .writtenAt = minStoreTime(now),
+            .generation = m_generation,
+            .draws = {.ceiling = granted + free / DrawLimit::s_wholeShare * share, .prepaid = prepaid(), .share = share}};
 }
 
 bool TeamHolding::canFlush() const
@@ -449,12 +609,13 @@
     if (m_inFlight) {
         return m_inFlight->transaction;
     }
-    const Tokens change = wantedChange(routers, now);
+    const Tokens change = m_restoring ? 0 : wantedChange(routers, now);
     ++m_flushSequence;
-    Flush flush{.row = rowAfter(change, now)};
-    flush.removesRow = m_closing && m_reserved == 0;
+    Flush flush{.row = rowAfter(change, routers, now), .change = change};
+    flush.removesRow = m_closing && m_reserved == 0 && !m_restoring;
     flush.transaction.conditions.push_back({.address = ownAddress(), .version = m_rowVersion});
-    if (change != 0 || m_predecessor || m_poolVersion == 0 || flush.removesRow || m_borrowed > 0) {
+    addGenerationMark(flush.transaction);
+    if (change != 0 || m_restoring || m_predecessor || m_poolVersion == 0 || flush.removesRow || m_borrowed > 0) {
         flush.returned = std::exchange(m_borrowed, 0);
         PoolRow pool{.prepaid = prepaid(),
                      .planVersion = std::max(m_pool.planVersion, m_statement.planVersion),
@@ -462,6 +623,9 @@
         if (m_predecessor) {
             pool.allocated -= m_predecessor->granted - spentByPredecessor();
         }
+        if (m_restoring) {
+            pool.allocated += m_row->granted - m_countedInPool;
+        }
         flush.transaction.conditions.push_back({.address = poolAddress(), .version = m_poolVersion});
         flush.transaction.changes.push_back({.address = poolAddress(), .value = toText(pool)});
         flush.pool = pool;
@@ -469,6 +633,12 @@
     // Tokens that a closing holder has spent stay allocated in the pool, so its row can be removed.
     const std::optional<std::string> value = flush.removesRow ? std::nullopt : std::optional(toText(flush.row));
     flush.transaction.changes.push_back({.address = ownAddress(), .value = value});
+    if (m_predecessor && m_predecessor->generation == m_generation) {
+        DrawLimit inherited = m_predecessor->draws;
+        inherited.ceiling -= spentByPredecessor();
+        m_announcements.push_back({.limit = inherited});
+    }
+    m_announcements.push_back({.flushSequence = m_flushSequence, .limit = flush.row.draws});
     m_inFlight = std::move(flush);
     return m_inFlight->transaction;
 }
@@ -476,12 +646,22 @@
 void TeamHolding::flushAnswered(const RowTransactionResult &verdict, Instant now)
 {
     setStoreTime(verdict.storeTime, now);
-    m_seenVersion = std::max(m_seenVersion, verdict.version);
-    if (!m_inFlight) {
+    if (!m_inFlight || verdict.generation < m_generation) {
         return;
     }
+    if (verdict.generation > m_generation) {
+        flushAnsweredAfterReturn(verdict, now);
+        return;
+    }
+    m_seenVersion = std::max(m_seenVersion, verdict.version);
     if (verdict.applied) {
+        endAnnouncements(m_inFlight->row.flushSequence, now);
+        if (m_predecessor) {
+            m_spentByRecovered[m_predecessor->incarnation] = spentByPredecessor();
+        }
         m_predecessor.reset();
+        m_restoring = false;
+        m_markVersion = m_markVersion != 0 ? m_markVersion : verdict.version;
         m_rowVersion = m_inFlight->removesRow ? 0 : verdict.version;
         m_row = m_inFlight->removesRow ? std::nullopt : std::optional(m_inFlight->row);
         if (m_inFlight->pool) {
@@ -491,17 +671,27 @@
         m_inFlight.reset();
         return;
     }
+    if (m_restoring) {
+        // The rows that the copy had have changed since they were read, possibly by an earlier copy of this flush.
+        m_inFlight.reset();
+        m_loaded = false;
+        return;
+    }
     bool ownSeen = false;
+    m_markVersion = 0;
     for (const StoredRow &row : verdict.current) {
         if (row.address == ownAddress()) {
             ownSeen = true;
             adoptOwnRow(row);
+        } else if (isGenerationKey(row.address.key)) {
+            adoptMark(row);
         } else if (row.address.key == s_poolKey) {
             adoptPoolRow(row);
         }
     }
     const bool tookEffectBefore = m_row && m_row->flushSequence == m_inFlight->row.flushSequence;
     if (tookEffectBefore) {
+        endAnnouncements(m_inFlight->row.flushSequence, now);
         m_predecessor.reset();
         m_inFlight->returned = 0;
     }
@@ -516,6 +706,25 @@
     m_lastFlush = now - m_options.policy.refreshInterval;
 }
 
+void TeamHolding::flushAnsweredAfterReturn(const RowTransactionResult &verdict, Instant now)
+{
+    if (verdict.applied && m_inFlight->removesRow) {
+        m_row.reset();
+        m_rowVersion = 0;
+    } else if (verdict.applied && !m_row) {
+        // The first row of this process. It was drawn from a pool that may have forgotten other draws, so nothing of it is held.
+        m_row = m_inFlight->row;
+        m_row->granted = 0;
+        if (m_predecessor) {
+            m_spentByRecovered[m_predecessor->incarnation] = spentByPredecessor();
+        }
+    }
+    if (verdict.applied) {
+        m_predecessor.reset();
+    }
+    beginGeneration(verdict.generation, now);
+}
+
 void TeamHolding::abandonFlush()
 {
     m_borrowed += m_inFlight->returned;
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -55,6 +56,11 @@
 /// lost message loses the tokens to the team but never lets them be spent twice. What the borrower does not need goes into the pool with
 /// its next flush.
 ///
+/// The store may return from a copy that has forgotten draws and returns. Every holder then writes its row again with what it really holds,
+/// and corrects the pool by the difference. Until it has, the others leave in the pool what its row in the copy allowed it to draw (its
+/// ceiling), which every holder respects while a copy with that row may come back. What a holder drew, or asked for, without knowing of the
+/// return is not spent.
+///
 /// Performs no I/O and reads no clock: the caller passes in times and the store's verdicts, and sends the transactions.
 class TeamHolding
 {
@@ -146,6 +152,12 @@
         return ample(demand(now));
     }
 
+    /// Whether the rows have been read since the start, or since the store has returned from a copy.
+    bool loaded() const
+    {
+        return m_loaded;
+    }
+
     /// Whether nothing is left to recover from an earlier process: this holding's row belongs to this process, or does not exist.
     bool recovered() const
     {
@@ -229,6 +241,12 @@
     /// Tokens in the pool that no router holds, as last seen.
     Tokens freeInPool() const;
 
+    /// The part of them that may be drawn: after a return of the store, others may hold more than their rows say.
+    Tokens drawableInPool() const
+    {
+        return freeInPool() - m_reservedForOthers;
+    }
+
     /// Whether another process has taken over this holder's row.
     bool fenced() const
     {
@@ -257,6 +275,8 @@
     struct Flush {
         RowTransaction transaction;
         HolderRow row;
+        /// Tokens that the flush adds to the holding, or takes from it.
+        Tokens change = 0;
         std::optional<PoolRow> pool;
         /// Borrowed tokens that the flush puts into the pool.
         Tokens returned = 0;
@@ -265,6 +285,21 @@
         bool outcomeUnknown = false;
     };
 
+    /// A limit that this holder, or its predecessor, has announced in a row. Holds while the row, or a copy with it, may be in the store.
+    struct Announcement {
+        /// The flush that writes the row; 0 for the predecessor's.
+        std::uint64_t flushSequence = 0;
+        DrawLimit limit;
+        /// None until a later flush has taken effect.
+        std::optional<Instant> until;
+    };
+
+    /// Rows of the generations before the one of the last read.
+    struct GenerationMark {
+        RowAddress address;
+        std::uint64_t version = 0;
+    };
+
     RowAddress poolAddress() const;
     RowAddress ownAddress() const;
     Tokens spentByPredecessor() const;
@@ -274,7 +309,18 @@
     Tokens desiredHolding(std::size_t routers, Instant now) const;
     Tokens wantedChange(std::size_t routers, Instant now) const;
     StoreTimeMs minStoreTime(Instant now) const;
-    HolderRow rowAfter(Tokens change, Instant now) const;
+    HolderRow rowAfter(Tokens change, std::size_t routers, Instant now) const;
+    Tokens grantLimit(Instant now) const;
+    std::int64_t drawShare(std::size_t routers, Instant now) const;
+    void beginGeneration(StoreGeneration generation, Instant now);
+    void dropEarlierDraw(const StoredRow &row);
+    void adoptCopiedRow(const StoredRow *row);
+    void countOthers(const RowsSnapshot &read);
+    void adoptMark(const StoredRow &row);
+    void addGenerationMark(RowTransaction &transaction) const;
+    /// A flush has taken effect, so the rows of earlier ones are replaced.
+    void endAnnouncements(std::uint64_t flushSequence, Instant now);
+    void flushAnsweredAfterReturn(const RowTransactionResult &verdict, Instant now);
     void setStoreTime(StoreTimeMs time, Instant now);
     void adoptOwnRow(const StoredRow &row);
     void adoptPoolRow(const StoredRow &row);
@@ -302,8 +348,22 @@
     bool m_assigned = true;
     /// Number of assigned holders; none until the routers have been ranked. Until then every router is an assigned holder.
     std::optional<std::size_t> m_assignedCount;
-    /// The newest version that the store has shown.
+    /// The newest generation and version that the store has shown.
+    StoreGeneration m_generation = 0;
     std::uint64_t m_seenVersion = 0;
+    /// The version of the row that marks the generation, 0 while there is none, and the marks of earlier ones.
+    std::uint64_t m_markVersion = 0;
+    std::vector<GenerationMark> m_outdatedMarks;
+    /// Whether this holder's row in the store is one that the store has returned from, and what the pool counts there for this address.
+    bool m_restoring = false;
+    /// While others may be about to write rows again that the copy does not have, nothing is drawn.
+    Instant m_drawsFrom{};
+    Tokens m_countedInPool = 0;
+    /// What the processes recovered by this one had spent, by incarnation.
+    std::map<std::string, Tokens, std::less<>> m_spentByRecovered;
+    std::vector<Announcement> m_announcements;
+    /// What the holders that have not written their row again since a return of the store may hold beyond it.
+    Tokens m_reservedForOthers = 0;
     PoolRow m_pool;
     std::uint64_t m_poolVersion = 0;
     /// This holder's row in its last acknowledged state, and its version; the version of a dead process's row until that is recovered.
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -189,7 +189,7 @@
     if (refusal == HoldingRefusal::CommitLimited) {
         return m_checkpointStoreReachable;
     }
-    return account.storeReachable && account.holding.freeInPool() >= bound;
+    return account.storeReachable && account.holding.drawableInPool() >= bound;
 }
 
 bool TeamLedger::mayBorrow(const Entry &account, HoldingRefusal refusal, Tokens bound) const
--- a/src/tests/budgetstorereturntest.cpp
+++ b/src/tests/budgetstorereturntest.cpp
@@ -71,6 +71,9 @@
         Process &process = fleet.process(router);
         BOOST_TEST(!process.holding.fenced());
         BOOST_TEST(!process.checkpoint.fenced());
+        process.holding.addWaiting(10);
+        fleet.checkpoint(router, Fleet::Fate::Answered);
+        process.holding.removeWaiting(10);
         reserve(fleet, process, 10);
         BOOST_TEST(process.reserved.size() == 1U);
     }
@@ -89,8 +92,10 @@
             Process &process = fleet.process(router);
             process.holding.servingSince(process.now);
             process.holding.recordDemand(1000, process.now);
+            process.holding.addWaiting(s_prepaid);
             fleet.pass(ms(1000), std::nullopt);
             fleet.stabilize(router);
+            process.holding.removeWaiting(s_prepaid);
             reserveAll(fleet, process);
             settle(fleet, process, s_prepaid);
             settle(fleet, process, s_prepaid);
