A holder that writes its row again keeps what it has borrowed

After a return of the store all holders of a team write their rows again and conflict over the pool. A flush that is answered 412 then may also have been applied earlier, so what it returned to the pool counted as gone, and each conflict lost a borrower's tokens. Now a row is written again without returning anything. Unused fields of the flush and of the generation marks are gone.

--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -333,7 +333,7 @@
     if (row.address.key == generationKey(m_generation)) {
         m_markVersion = row.version;
     } else {
-        m_outdatedMarks.push_back({.address = row.address, .version = row.version});
+        m_outdatedMarks.push_back(row.address);
     }
 }
 
@@ -345,8 +345,8 @@
         return;
     }
     transaction.changes.push_back({.address = address, .value = std::string()});
-    for (const GenerationMark &mark : m_outdatedMarks) {
-        transaction.changes.push_back({.address = mark.address, .value = std::nullopt});
+    for (const RowAddress &mark : m_outdatedMarks) {
+        transaction.changes.push_back({.address = mark, .value = std::nullopt});
     }
 }
 
@@ -611,12 +611,13 @@
     }
     const Tokens change = m_restoring ? 0 : wantedChange(routers, now);
     ++m_flushSequence;
-    Flush flush{.row = rowAfter(change, routers, now), .change = change};
+    Flush flush{.row = rowAfter(change, routers, now)};
     flush.removesRow = m_closing && m_reserved == 0 && !m_restoring;
     flush.transaction.conditions.push_back({.address = ownAddress(), .version = m_rowVersion});
     addGenerationMark(flush.transaction);
     if (change != 0 || m_restoring || m_predecessor || m_poolVersion == 0 || flush.removesRow || m_borrowed > 0) {
-        flush.returned = std::exchange(m_borrowed, 0);
+        // Holders that write their rows again conflict over the pool, and a flush that may have been applied keeps what it returns.
+        flush.returned = m_restoring ? 0 : std::exchange(m_borrowed, 0);
         PoolRow pool{.prepaid = prepaid(),
                      .planVersion = std::max(m_pool.planVersion, m_statement.planVersion),
                      .allocated = m_pool.allocated + change - flush.returned};
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -275,8 +275,6 @@
     struct Flush {
         RowTransaction transaction;
         HolderRow row;
-        /// Tokens that the flush adds to the holding, or takes from it.
-        Tokens change = 0;
         std::optional<PoolRow> pool;
         /// Borrowed tokens that the flush puts into the pool.
         Tokens returned = 0;
@@ -294,12 +292,6 @@
         std::optional<Instant> until;
     };
 
-    /// Rows of the generations before the one of the last read.
-    struct GenerationMark {
-        RowAddress address;
-        std::uint64_t version = 0;
-    };
-
     RowAddress poolAddress() const;
     RowAddress ownAddress() const;
     Tokens spentByPredecessor() const;
@@ -353,7 +345,7 @@
     std::uint64_t m_seenVersion = 0;
     /// The version of the row that marks the generation, 0 while there is none, and the marks of earlier ones.
     std::uint64_t m_markVersion = 0;
-    std::vector<GenerationMark> m_outdatedMarks;
+    std::vector<RowAddress> m_outdatedMarks;
     /// Whether this holder's row in the store is one that the store has returned from, and what the pool counts there for this address.
     bool m_restoring = false;
     /// While others may be about to write rows again that the copy does not have, nothing is drawn.
