A store that does not answer does not delay the stop of a router

What callers would see: a router that stops while the store is out of reach is killed at the end of its grace period, without its last look at open connections. Found by the review of the drain, by reading: drainAndStop waited for the removal of the router's row, a call with several time-outs in a row, between two steps of the sequence. Change: the removal runs beside the sequence, which ends at its own times.

--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -450,7 +450,7 @@
             co_await pause(s_shutdownPollInterval);
         }
         m_ledger.beginClose();
-        co_await m_registry.deregister();
+        asio::co_spawn(m_executor, deregister(), asio::detached);
         while (sequence.update(shutdownLoad(), steadyNow()) != Step::Stop) {
             m_callers.closeIdleConnections();
             co_await pause(s_shutdownPollInterval);
@@ -468,7 +468,14 @@
         return {.streams = m_gateway.streamsInFlight(),
                 .connections = m_callers.connections(),
                 .listening = m_callers.listening(),
-                .budgetsReturned = m_ledger.closed()};
+                .budgetsReturned = m_deregistered && m_ledger.closed()};
+    }
+
+    /// Takes this router off the list of live routers. A store that does not answer must not delay the stop.
+    asio::awaitable<void> deregister()
+    {
+        co_await m_registry.deregister();
+        m_deregistered = true;
     }
 
     WorkerPool &m_pool;
@@ -496,6 +503,7 @@
     HttpServer m_metricsServer;
     bool m_targetsKnown = false;
     bool m_draining = false;
+    bool m_deregistered = false;
 };
 
 }
--- a/src/tests/gatewaydraintest.cpp
+++ b/src/tests/gatewaydraintest.cpp
@@ -26,7 +26,7 @@
 struct RemoteRows {
     asio::awaitable<absl::StatusOr<RowTransactionResult>> transact(const RowTransaction &transaction)
     {
-        co_await pause(s_responseTime);
+        co_await pause(silent ? s_never : s_responseTime);
         const absl::StatusOr<RowTransactionResult> result = co_await rows.transact(transaction);
         co_return result;
     }
@@ -45,8 +45,11 @@
     }
 
     static constexpr Duration s_responseTime = std::chrono::milliseconds(4);
+    static constexpr Duration s_never = std::chrono::hours(1);
 
     SharedRows rows;
+    /// Whether transactions get no answer.
+    bool silent = false;
 };
 
 using Daemon = GatewayDaemon<RemoteRows>;
@@ -121,6 +124,24 @@
         });
     }
 
+    /// Makes the store silent for transactions from now on.
+    void silenceStore()
+    {
+        asio::post(m_pool.mainLoop(), [this] {
+            m_store.silent = true;
+        });
+    }
+
+    /// Waits for the process to stop, for a time that is far longer than its grace period. Returns whether it has stopped.
+    bool waitUntilStopped() const
+    {
+        const Instant limit = steadyNow() + std::chrono::seconds(20);
+        while (!m_stopped && steadyNow() < limit) {
+            std::this_thread::sleep_for(s_pollInterval);
+        }
+        return m_stopped;
+    }
+
     /// Opens a connection; none when the router does not listen any more.
     std::optional<asio::ip::tcp::socket> connect()
     {
@@ -223,4 +244,14 @@
     BOOST_TEST(router.readAll(caller).empty());
 }
 
+// Guards against a router that is killed because it waits for a store that does not answer.
+BOOST_AUTO_TEST_CASE(aSilentStoreDoesNotDelayTheStop)
+{
+    DrainingRouter router(std::chrono::milliseconds(700));
+    router.waitUntilServing();
+    router.silenceStore();
+    router.drain();
+    BOOST_TEST(router.waitUntilStopped());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
