A router whose streams last stops accepting before its work deadline

What callers would see: where streams run until the deadline, connections were accepted until then too, and what arrived on the last of them had no time to be answered. Found by the review, by reading. Change: the listener closes half a second before the work deadline at the latest.

ShutdownSequenceTest/lastingStreamsLeaveTimeToEndConnections failed before and passes in three runs of three.

--- a/src/gateway/shutdownsequence.cpp
+++ b/src/gateway/shutdownsequence.cpp
@@ -9,7 +9,8 @@
     case Step::Serve:
         // If all routers of a failure domain are restarted together, the load balancer keeps sending callers here, and a refused connection
         // serves nobody. The time that streams take is therefore used to accept more requests.
-        return now >= workDeadline() || (now >= m_options.startedAt + m_options.rotationTime && load.streams == 0);
+        return now >= workDeadline() - m_options.connectionReserve
+            || (now >= m_options.startedAt + m_options.rotationTime && load.streams == 0);
     case Step::EndConnections:
         return now >= workDeadline() || connectionsEnded;
     case Step::ReturnBudgets:
--- a/src/gateway/shutdownsequence.h
+++ b/src/gateway/shutdownsequence.h
@@ -21,6 +21,8 @@
         /// A load balancer that checks once a second removes a host after two failed checks; until then connections still arrive and are
         /// served.
         Duration rotationTime = std::chrono::milliseconds(2600);
+        /// The time before `workDeadline()` in which connections are no longer accepted, so that those that were can be answered.
+        Duration connectionReserve = std::chrono::milliseconds(500);
         /// The part of the grace period that is reserved for returning budgets and stopping.
         Duration returnReserve = std::chrono::milliseconds(600);
         /// The part of it that remains when the process stops at the latest.
--- a/src/tests/shutdownsequencetest.cpp
+++ b/src/tests/shutdownsequencetest.cpp
@@ -45,4 +45,16 @@
     BOOST_TEST(holds);
 }
 
+// Guards against connections that are accepted until the deadline, so that no time is left to answer what arrives on them.
+BOOST_AUTO_TEST_CASE(lastingStreamsLeaveTimeToEndConnections)
+{
+    ShutdownSequence sequence({.startedAt = s_start, .gracePeriod = s_gracePeriod});
+    const ShutdownSequence::Load load{.streams = 1, .connections = 1, .listening = true};
+    Duration ending{};
+    for (Instant now = s_start; now < sequence.workDeadline(); now += std::chrono::milliseconds(s_tickMs)) {
+        ending += sequence.update(load, now) == Step::EndConnections ? std::chrono::milliseconds(s_tickMs) : Duration::zero();
+    }
+    BOOST_TEST((ending >= std::chrono::milliseconds(500)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
