Tests: a sidecar that loses runs as it stops

The sidecar's drain has the fault of the routers' drains: it looks at m_liveRuns, which a run enters in a later critical section than the one that admits it, and leaves before its end is queued for the link. The link then stops without sending what is queued, and without reading what has arrived.

The decision moves as it stands into SidecarDrain, where a test can drive it.

--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "budget/budgetrows.h"
 #include "clock/steadytime.h"
+#include "engine/sidecardrain.h"
 #include "link/framecodec.h"
 #include "net/incarnation.h"
 #include "net/pause.h"
@@ -108,12 +109,12 @@
 
 asio::awaitable<void> Sidecar::drainLoop()
 {
-    const Instant limit = steadyNow() + m_settings.drainTimeout;
-    bool busy = true;
-    while (busy && steadyNow() < limit) {
+    const SidecarDrain drain(steadyNow() + m_settings.drainTimeout);
+    bool waiting = true;
+    while (waiting) {
         co_await pause(s_drainPollInterval);
         const std::lock_guard lock(m_mutex);
-        busy = !m_liveRuns.empty();
+        waiting = drain.mustWait({.admittedRuns = m_table.running(), .executingRuns = m_liveRuns.size()}, steadyNow());
     }
     // Give the link time to send the last queued frames before the process exits.
     co_await pause(s_reportInterval);
