Sidecar drain waits for every admitted run

What callers would see: a run that was admitted just before SIGTERM gets no answer, and its router reserves its tokens until it is reclaimed. Cause: onDispatch admits a run under one lock and enters it into m_liveRuns under a later one; a drain that looked between them saw no run. Change: the drain looks at the run table's own count, which changes in the same critical section as the admission, and logs it as `unfinished`.

SidecarStopLosesRunsTest/admittedRunIsWaitedForBeforeItExecutes failed before in three runs of three, and passes in three of three. The other two cases of the suite still fail. The window itself was not reproduced in a running sidecar.

--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -114,14 +114,14 @@
     while (waiting) {
         co_await pause(s_drainPollInterval);
         const std::lock_guard lock(m_mutex);
-        waiting = drain.mustWait({.admittedRuns = m_table.running(), .executingRuns = m_liveRuns.size()}, steadyNow());
+        waiting = drain.mustWait({.admittedRuns = m_table.running()}, steadyNow());
     }
     // Give the link time to send the last queued frames before the process exits.
     co_await pause(s_reportInterval);
     std::int64_t unfinished = 0;
     {
         const std::lock_guard lock(m_mutex);
-        unfinished = static_cast<std::int64_t>(m_liveRuns.size());
+        unfinished = static_cast<std::int64_t>(m_table.running());
     }
     logLine(Severity::Info, "drained", {{"unfinished", unfinished}});
     m_pool.stop();
--- a/src/engine/sidecardrain.h
+++ b/src/engine/sidecardrain.h
@@ -2,17 +2,14 @@
 
 #include "clock/instant.h"
 
-#include <cstddef>
 #include <cstdint>
 
 namespace bamboohold {
 
 /// The runs of a sidecar that shuts down, as observed at one moment.
 struct SidecarLoad {
-    /// Runs that were admitted and whose end is not recorded.
+    /// Runs that were admitted and whose end is not recorded, whether or not their execution has started.
     std::uint32_t admittedRuns = 0;
-    /// Runs whose execution has started.
-    std::size_t executingRuns = 0;
 };
 
 /// Decides when a sidecar that shuts down has no run left to wait for.
@@ -27,7 +24,7 @@
     /// Returns whether the sidecar must wait. Once the time limit has passed, unfinished runs no longer delay it.
     bool mustWait(const SidecarLoad &load, Instant now) const
     {
-        return load.executingRuns > 0 && now < m_limit;
+        return load.admittedRuns > 0 && now < m_limit;
     }
 
 private:
