Sidecar queues the end of a run before its drain can stop the process

What callers would see: a response without its end, reported as a lost target, though the engine has completed it; the tokens stay reserved until the router has asked again or the sidecar is found to be gone. Cause: execute() erased the run before it queued the End frame, so the drain could see no run and stop in between; and LinkHub left its loop without sending what was queued, and closed its socket with a linger time of 0. Until now the pause of 500 ms at the end of the drain has covered both, as long as the host is not slower than that.

Change: the run's end is recorded and its frames are queued in one critical section. LinkHub sends what is queued before it closes, for at most 500 ms; PeerLink's hub keeps a closing time of 0, so the stop of a router without sidecars takes no longer.

The order within execute() is not covered by a test.

Known cost: a sidecar, or the product's own router, whose peer cannot be reached may take 500 ms longer to end (by the option; not measured).

--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -351,9 +351,10 @@
         const std::lock_guard lock(m_mutex);
         end.charged = m_table.finish(requestId, end.end, end.usage);
         m_liveRuns.erase(requestId);
+        // Queued before the lock is released: the drain may stop the process as soon as the table shows no run.
+        sendFrame(*run, {.attempt = run->dispatch.attempt(), .sequence = run->sequence++, .content = end});
+        notifyPayer(*run, end);
     }
-    sendFrame(*run, {.attempt = run->dispatch.attempt(), .sequence = run->sequence++, .content = end});
-    notifyPayer(*run, end);
     m_metrics.count("bamboohold_runs_total", {.name = "end", .value = runEndName(end.end)});
 }
 
--- a/src/link/linkhub.cpp
+++ b/src/link/linkhub.cpp
@@ -58,7 +58,8 @@
 {
     m_wakeDescriptor = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     m_socket.set(zmq::sockopt::routing_id, m_options.identity);
-    m_socket.set(zmq::sockopt::linger, 0);
+    m_socket.set(zmq::sockopt::linger,
+                 static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.closeTime).count()));
     m_socket.set(zmq::sockopt::sndhwm, m_options.queueLength);
     m_socket.set(zmq::sockopt::rcvhwm, m_options.queueLength);
     // Without this option a message to a peer that is gone is dropped silently; with it the send fails and is counted.
@@ -138,6 +139,14 @@
     }
 }
 
+void LinkHub::executeQueued()
+{
+    Command command;
+    while (m_commands.try_pop(command)) {
+        execute(command);
+    }
+}
+
 void LinkHub::receive()
 {
     wire::Envelope message;
@@ -173,12 +182,11 @@
         }
         // Cleared before the queue is emptied, so that a command pushed after this line wakes the thread again.
         m_wakePending = false;
-        Command command;
-        while (m_commands.try_pop(command)) {
-            execute(command);
-        }
+        executeQueued();
         receive();
     }
+    // The last messages of a process that stops, such as the end of its last run, may still be queued.
+    executeQueued();
     m_socket.close();
 }
 
--- a/src/link/linkhub.h
+++ b/src/link/linkhub.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clock/instant.h"
 #include "link/link.pb.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -33,12 +34,16 @@
         std::string endpoint;
         /// Maximum number of messages queued for one peer; further ones are dropped.
         int queueLength = 100'000;
+        /// How long the destructor waits at most until the messages that are queued have been sent. A peer that cannot be reached takes all
+        /// of it.
+        Duration closeTime = std::chrono::milliseconds(500);
     };
 
     /// Called on the link's thread with the peer's identity.
     using Handler = std::function<void(std::string_view peer, wire::Envelope &message)>;
 
     LinkHub(Options options, Handler handler);
+    /// Sends the messages that are queued, for Options::closeTime at most, and closes the connections.
     ~LinkHub();
 
     LinkHub(const LinkHub &) = delete;
@@ -84,6 +89,7 @@
     void run();
     void wake();
     void execute(Command &command);
+    void executeQueued();
     void receive();
 
     Options m_options;
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -20,7 +20,11 @@
 PeerLink::PeerLink(boost::asio::any_io_executor executor, Options options)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
-    , m_hub({.identity = m_options.self, .endpoint = absl::StrCat("tcp://", m_options.self), .queueLength = s_maxQueuedMessages},
+    // Waiting for peers that cannot be reached would delay the end of a process whose grace period is over.
+    , m_hub({.identity = m_options.self,
+             .endpoint = absl::StrCat("tcp://", m_options.self),
+             .queueLength = s_maxQueuedMessages,
+             .closeTime = Duration::zero()},
             [this](std::string_view peer, wire::Envelope &message) {
                 boost::asio::post(m_executor, [this, from = std::string(peer), received = message] {
                     handleMessage(from, received);
