Link answers what has arrived before it closes

What callers would see: a dispatch that reaches a sidecar between its last look at its runs and its end is neither run nor refused; its router can't tell and waits until the connection is found lost. Change: before it closes, LinkHub handles what has arrived, for at most its closing time, and sends the answers. A dispatch that arrives after the last read is still lost.

--- a/src/link/linkhub.cpp
+++ b/src/link/linkhub.cpp
@@ -1,5 +1,6 @@
 #include "link/linkhub.h"
 
+#include "clock/steadytime.h"
 #include "failure/failure.h"
 
 #include <absl/strings/str_cat.h>
@@ -147,14 +148,14 @@
     }
 }
 
-void LinkHub::receive()
+bool LinkHub::receive()
 {
     wire::Envelope message;
     for (int taken = 0; taken < s_maxMessagesPerReceive; ++taken) {
         zmq::message_t peer;
         zmq::message_t content;
         if (!m_socket.recv(peer, zmq::recv_flags::dontwait)) {
-            return;
+            return taken > 0;
         }
         if (!peer.more() || !m_socket.recv(content, zmq::recv_flags::dontwait)) {
             continue;
@@ -166,6 +167,7 @@
             m_handler(peer.to_string_view(), message);
         }
     }
+    return true;
 }
 
 void LinkHub::run()
@@ -185,8 +187,13 @@
         executeQueued();
         receive();
     }
-    // The last messages of a process that stops, such as the end of its last run, may still be queued.
+    // The last messages of a process that stops, such as the end of its last run, may still be queued. Messages that have arrived are
+    // handled, so that the process can still refuse what they ask for.
     executeQueued();
+    const Instant limit = steadyNow() + m_options.closeTime;
+    while (steadyNow() < limit && receive()) {
+        executeQueued();
+    }
     m_socket.close();
 }
 
--- a/src/link/linkhub.h
+++ b/src/link/linkhub.h
@@ -34,8 +34,8 @@
         std::string endpoint;
         /// Maximum number of messages queued for one peer; further ones are dropped.
         int queueLength = 100'000;
-        /// How long the destructor waits at most until the messages that are queued have been sent. A peer that cannot be reached takes all
-        /// of it.
+        /// How long the destructor goes on at most to handle messages that have arrived, and then waits until the messages that are queued
+        /// have been sent. A peer that cannot be reached takes all of it.
         Duration closeTime = std::chrono::milliseconds(500);
     };
 
@@ -43,7 +43,8 @@
     using Handler = std::function<void(std::string_view peer, wire::Envelope &message)>;
 
     LinkHub(Options options, Handler handler);
-    /// Sends the messages that are queued, for Options::closeTime at most, and closes the connections.
+    /// Handles the messages that have arrived, sends those that are queued, each for Options::closeTime at most, and closes the
+    /// connections.
     ~LinkHub();
 
     LinkHub(const LinkHub &) = delete;
@@ -90,7 +91,8 @@
     void wake();
     void execute(Command &command);
     void executeQueued();
-    void receive();
+    /// Handles messages that have arrived, up to a maximum. Returns whether there were any.
+    bool receive();
 
     Options m_options;
     Handler m_handler;
