The link closes before the work of the event loops is discarded

What would be seen: a router or sidecar that crashes as it stops, before its link has sent what is queued. Cause: the link's thread goes on until the process object is destroyed, and posts cancels, credit and frames to event loops whose queues discardPendingWork() takes apart without a lock, and refers to requests that it destroys. Change: LinkHub::close() ends the thread; both roles call it before discardPendingWork().

A test of the whole process is missing. The router without sidecars has the same order of calls (platform/main.cpp) and is not changed here.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -29,10 +29,13 @@
     });
     if (const absl::Status status = process.open(); !status.ok()) {
         logLine(Severity::Error, "cannot start", {{"type", failureName(toFailure(status).kind)}, {"detail", toFailure(status).detail}});
+        process.closeLink();
         pool.discardPendingWork();
         return s_exitStartupError;
     }
     pool.run();
+    // The link's thread posts to the event loops, which must not happen while their work is discarded.
+    process.closeLink();
     process.logStopped();
     // Requests that were cut off refer to the process.
     pool.discardPendingWork();
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -445,6 +445,13 @@
     m_pool.stop();
 }
 
+void Router::closeLink()
+{
+    if (m_link) {
+        m_link->close();
+    }
+}
+
 void Router::logStopped() const
 {
     logLine(Severity::Info,
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -44,6 +44,9 @@
     /// ended, when neither number can change any more.
     void logStopped() const;
 
+    /// Ends the exchange of messages with peers. Called once the event loops have ended, since a message may still refer to them.
+    void closeLink();
+
 private:
     void onMessage(std::string_view peer, wire::Envelope &message);
     void onReport(std::string_view peer, const wire::Report &report);
--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -127,6 +127,13 @@
     m_pool.stop();
 }
 
+void Sidecar::closeLink()
+{
+    if (m_link) {
+        m_link->close();
+    }
+}
+
 void Sidecar::logStopped()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/engine/sidecar.h
+++ b/src/engine/sidecar.h
@@ -38,6 +38,9 @@
     /// Logs the runs that have not ended. Called once the event loops have ended.
     void logStopped();
 
+    /// Ends the exchange of messages with peers. Called once the event loops have ended, since a message may still refer to them.
+    void closeLink();
+
 private:
     struct LiveRun;
 
--- a/src/link/linkhub.cpp
+++ b/src/link/linkhub.cpp
@@ -45,11 +45,7 @@
 
 LinkHub::~LinkHub()
 {
-    m_stopping = true;
-    wake();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    close();
     if (m_wakeDescriptor >= 0) {
         ::close(m_wakeDescriptor);
     }
@@ -91,6 +87,15 @@
     }
 }
 
+void LinkHub::close()
+{
+    m_stopping = true;
+    wake();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
 void LinkHub::connect(std::string peer, std::string endpoint)
 {
     m_commands.push({.kind = Command::Kind::Connect, .peer = std::move(peer), .content = std::move(endpoint)});
--- a/src/link/linkhub.h
+++ b/src/link/linkhub.h
@@ -34,8 +34,8 @@
         std::string endpoint;
         /// Maximum number of messages queued for one peer; further ones are dropped.
         int queueLength = 100'000;
-        /// How long the destructor goes on at most to handle messages that have arrived, and then waits until the messages that are queued
-        /// have been sent. A peer that cannot be reached takes all of it.
+        /// How long messages that have arrived are handled at most when the link closes. The destructor then waits as long at most until
+        /// the messages that are queued have been sent; a peer that cannot be reached takes all of it.
         Duration closeTime = std::chrono::milliseconds(500);
     };
 
@@ -43,8 +43,6 @@
     using Handler = std::function<void(std::string_view peer, wire::Envelope &message)>;
 
     LinkHub(Options options, Handler handler);
-    /// Handles the messages that have arrived, sends those that are queued, each for Options::closeTime at most, and closes the
-    /// connections.
     ~LinkHub();
 
     LinkHub(const LinkHub &) = delete;
@@ -53,6 +51,10 @@
     /// Starts to listen and starts the thread. Fails with InvalidSetting if the address is in use.
     absl::Status open();
 
+    /// Handles the messages that have arrived, sends those that are queued, and closes the connections. No message is handled or sent
+    /// afterwards. The destructor calls it, too.
+    void close();
+
     /// Connects to a peer and assigns it this name. Has no effect if already connected.
     void connect(std::string peer, std::string endpoint);
 
