--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "budget/budgetrows.h"
 #include "clock/steadytime.h"
+#include "engine/sidecardrain.h"
 #include "link/framecodec.h"
 #include "net/incarnation.h"
 #include "net/pause.h"
@@ -108,24 +109,31 @@
 
 asio::awaitable<void> Sidecar::drainLoop()
 {
-    const Instant limit = steadyNow() + m_settings.drainTimeout;
-    bool busy = true;
-    while (busy && steadyNow() < limit) {
+    const SidecarDrain drain(steadyNow() + m_settings.drainTimeout);
+    bool waiting = true;
+    while (waiting) {
         co_await pause(s_drainPollInterval);
         const std::lock_guard lock(m_mutex);
-        busy = !m_liveRuns.empty();
+        waiting = drain.mustWait({.admittedRuns = m_table.running()}, steadyNow());
     }
     // Give the link time to send the last queued frames before the process exits.
     co_await pause(s_reportInterval);
     std::int64_t unfinished = 0;
     {
         const std::lock_guard lock(m_mutex);
-        unfinished = static_cast<std::int64_t>(m_liveRuns.size());
+        unfinished = static_cast<std::int64_t>(m_table.running());
     }
     logLine(Severity::Info, "drained", {{"unfinished", unfinished}});
     m_pool.stop();
 }
 
+void Sidecar::closeLink()
+{
+    if (m_link) {
+        m_link->close();
+    }
+}
+
 void Sidecar::logStopped()
 {
     const std::lock_guard lock(m_mutex);
@@ -350,9 +358,10 @@
         const std::lock_guard lock(m_mutex);
         end.charged = m_table.finish(requestId, end.end, end.usage);
         m_liveRuns.erase(requestId);
+        // Queued before the lock is released: the drain may stop the process as soon as the table shows no run.
+        sendFrame(*run, {.attempt = run->dispatch.attempt(), .sequence = run->sequence++, .content = end});
+        notifyPayer(*run, end);
     }
-    sendFrame(*run, {.attempt = run->dispatch.attempt(), .sequence = run->sequence++, .content = end});
-    notifyPayer(*run, end);
     m_metrics.count("bamboohold_runs_total", {.name = "end", .value = runEndName(end.end)});
 }
 
--- a/src/link/linkhub.cpp
+++ b/src/link/linkhub.cpp
@@ -1,5 +1,6 @@
 #include "link/linkhub.h"
 
+#include "clock/steadytime.h"
 #include "failure/failure.h"
 
 #include <absl/strings/str_cat.h>
@@ -44,11 +45,7 @@
 
 LinkHub::~LinkHub()
 {
-    m_stopping = true;
-    wake();
-    if (m_thread.joinable()) {
-        m_thread.join();
-    }
+    close();
     if (m_wakeDescriptor >= 0) {
         ::close(m_wakeDescriptor);
     }
@@ -58,7 +55,8 @@
 {
     m_wakeDescriptor = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     m_socket.set(zmq::sockopt::routing_id, m_options.identity);
-    m_socket.set(zmq::sockopt::linger, 0);
+    m_socket.set(zmq::sockopt::linger,
+                 static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(m_options.closeTime).count()));
     m_socket.set(zmq::sockopt::sndhwm, m_options.queueLength);
     m_socket.set(zmq::sockopt::rcvhwm, m_options.queueLength);
     // Without this option a message to a peer that is gone is dropped silently; with it the send fails and is counted.
@@ -89,6 +87,15 @@
     }
 }
 
+void LinkHub::close()
+{
+    m_stopping = true;
+    wake();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
 void LinkHub::connect(std::string peer, std::string endpoint)
 {
     m_commands.push({.kind = Command::Kind::Connect, .peer = std::move(peer), .content = std::move(endpoint)});
@@ -138,14 +145,22 @@
     }
 }
 
-void LinkHub::receive()
+void LinkHub::executeQueued()
+{
+    Command command;
+    while (m_commands.try_pop(command)) {
+        execute(command);
+    }
+}
+
+bool LinkHub::receive()
 {
     wire::Envelope message;
     for (int taken = 0; taken < s_maxMessagesPerReceive; ++taken) {
         zmq::message_t peer;
         zmq::message_t content;
         if (!m_socket.recv(peer, zmq::recv_flags::dontwait)) {
-            return;
+            return taken > 0;
         }
         if (!peer.more() || !m_socket.recv(content, zmq::recv_flags::dontwait)) {
             continue;
@@ -157,6 +172,7 @@
             m_handler(peer.to_string_view(), message);
         }
     }
+    return true;
 }
 
 void LinkHub::run()
@@ -173,12 +189,16 @@
         }
         // Cleared before the queue is emptied, so that a command pushed after this line wakes the thread again.
         m_wakePending = false;
-        Command command;
-        while (m_commands.try_pop(command)) {
-            execute(command);
-        }
+        executeQueued();
         receive();
     }
+    // The last messages of a process that stops, such as the end of its last run, may still be queued. Messages that have arrived are
+    // handled, so that the process can still refuse what they ask for.
+    executeQueued();
+    const Instant limit = steadyNow() + m_options.closeTime;
+    while (steadyNow() < limit && receive()) {
+        executeQueued();
+    }
     m_socket.close();
 }
 
--- a/src/link/linkhub.h
+++ b/src/link/linkhub.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clock/instant.h"
 #include "link/link.pb.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -33,6 +34,9 @@
         std::string endpoint;
         /// Maximum number of messages queued for one peer; further ones are dropped.
         int queueLength = 100'000;
+        /// How long messages that have arrived are handled at most when the link closes. The destructor then waits as long at most until
+        /// the messages that are queued have been sent; a peer that cannot be reached takes all of it.
+        Duration closeTime = std::chrono::milliseconds(500);
     };
 
     /// Called on the link's thread with the peer's identity.
@@ -47,6 +51,10 @@
     /// Starts to listen and starts the thread. Fails with InvalidSetting if the address is in use.
     absl::Status open();
 
+    /// Handles the messages that have arrived, sends those that are queued, and closes the connections. No message is handled or sent
+    /// afterwards. The destructor calls it, too.
+    void close();
+
     /// Connects to a peer and assigns it this name. Has no effect if already connected.
     void connect(std::string peer, std::string endpoint);
 
@@ -84,7 +92,9 @@
     void run();
     void wake();
     void execute(Command &command);
-    void receive();
+    void executeQueued();
+    /// Handles messages that have arrived, up to a maximum. Returns whether there were any.
+    bool receive();
 
     Options m_options;
     Handler m_handler;
