The router without sidecars closes its link before its pending work is discarded

The link's thread goes on after the event loop has ended and posts what peers send. Change: the link closes first, as it does in the product's own processes.

GatewayDrainTest, ShutdownSequenceTest and PeerHelpTest pass. The race itself has no test: it was not seen in a whole router.

--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -157,6 +157,12 @@
         }
     }
 
+    /// Ends the exchange of messages with peers. Called once the event loop has ended, and before its pending work is discarded.
+    void closeLink()
+    {
+        m_link.close();
+    }
+
     /// Counts a call to the store by table and kind. Calls whose number grows with routers times teams show up here first.
     void countStoreCall(const StoreCall &call)
     {
--- a/src/membership/peerlink.cpp
+++ b/src/membership/peerlink.cpp
@@ -59,6 +59,11 @@
     return opened;
 }
 
+void PeerLink::close()
+{
+    m_hub.close();
+}
+
 void PeerLink::connect(const std::string &peer)
 {
     // Two connections between the same peers would compete for one routing id, so only the peer with the lesser address connects.
--- a/src/membership/peerlink.h
+++ b/src/membership/peerlink.h
@@ -53,6 +53,9 @@
     /// Starts to listen and connects to the seeds. Fails with InvalidSetting if the address is in use.
     absl::Status open();
 
+    /// Ends the exchange of messages with peers. Called once the event loop has ended, since messages are posted to it.
+    void close();
+
     /// Replaces the peers by the live routers, given by link address; the list may contain this router.
     void setPeers(const std::vector<std::string> &peers);
 
--- a/src/tests/gatewaydraintest.cpp
+++ b/src/tests/gatewaydraintest.cpp
@@ -102,6 +102,7 @@
         BOOST_REQUIRE(m_daemon->open().ok());
         m_thread = std::thread([this] {
             m_pool.run();
+            m_daemon->closeLink();
             m_pool.discardPendingWork();
             m_stopped = true;
         });
