--- a/src/budget/holdingrows.cpp
+++ b/src/budget/holdingrows.cpp
@@ -4,6 +4,7 @@
 
 #include "operations/log.h"
 
+#include <absl/strings/numbers.h>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -99,6 +100,21 @@
     return std::string(s_generationPrefix).append(std::to_string(generation));
 }
 
+std::string markText(StoreTimeMs since)
+{
+    return std::to_string(since);
+}
+
+StoreTimeMs markTimeFrom(const StoredRow &stored)
+{
+    StoreTimeMs since = 0;
+    if (!absl::SimpleAtoi(stored.value, &since)) {
+        logLine(Severity::Error, "budget.row_unreadable", {{"row", stored.address.key}, {"team", stored.address.part}, {"detail", "time"}});
+        return 0;
+    }
+    return since;
+}
+
 bool isGenerationKey(std::string_view key)
 {
     return key.starts_with(s_generationPrefix);
@@ -122,7 +138,8 @@
                   .generation = static_cast<StoreGeneration>(reader.readCountOr("generation", 0))};
     row.draws = {.ceiling = reader.readCountOr("ceiling", row.granted),
                  .prepaid = reader.readCountOr("prepaid", s_maxStoredValue),
-                 .share = reader.readCountOr("share", 0)};
+                 .share = reader.readCountOr("share", 0),
+                 .older = reader.readCountOr("older_ceiling", DrawLimit::s_unlimited)};
     return reader.valid() ? row : HolderRow{};
 }
 
@@ -138,7 +155,8 @@
                                                       {"generation", row.generation},
                                                       {"ceiling", row.draws.ceiling},
                                                       {"prepaid", row.draws.prepaid},
-                                                      {"share", row.draws.share}});
+                                                      {"share", row.draws.share},
+                                                      {"older_ceiling", row.draws.older}});
 }
 
 PoolRow poolRowFrom(const StoredRow &stored)
--- a/src/budget/holdingrows.h
+++ b/src/budget/holdingrows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/checkpointrow.h"
 #include "clock/instant.h"
 #include "store/rowstore.h"
 
@@ -21,6 +22,10 @@
 /// that was given out again.
 std::string generationKey(StoreGeneration generation);
 
+/// Serialize the store's time at which a generation was first marked, and parse it; 0 for a text that cannot be parsed.
+std::string markText(StoreTimeMs since);
+StoreTimeMs markTimeFrom(const StoredRow &stored);
+
 /// Whether the key is one that generationKey() returns.
 bool isGenerationKey(std::string_view key);
 
@@ -36,6 +41,10 @@
     /// The team's prepaid tokens when the row was written, and the part of later top-ups that the holder may draw, in thousandths.
     Tokens prepaid = 0;
     std::int64_t share = 0;
+    /// What the limits in earlier rows of the holder allow.
+    Tokens older = s_unlimited;
+
+    static constexpr Tokens s_unlimited = s_maxStoredValue;
 
     /// The most that may be granted when this much is prepaid.
     Tokens most(Tokens nowPrepaid) const
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -243,7 +243,7 @@
         return true;
     }
     const Duration age = now - *m_lastRead;
-    const bool urgent = m_shortSinceRead && age >= m_options.policy.urgentInterval;
+    const bool urgent = m_shortSinceRead && mayDraw(now) && age >= m_options.policy.urgentInterval;
     const Duration interval = ample(now) ? m_options.policy.ampleInterval : m_options.policy.readInterval;
     return urgent || (m_requestedSinceRead && age >= interval);
 }
@@ -285,6 +285,7 @@
         }
     }
     countOthers(read);
+    waitForLostRows(read, now);
     if (!m_row && own != nullptr) {
         dropEarlierDraw(*own);
     }
@@ -306,28 +307,50 @@
     m_demandOfActive = 0;
     m_reservedForOthers = 0;
     std::vector<HolderRow> outdated;
-    StoreTimeMs newestOutdated = 0;
     for (const StoredRow &row : read.rows) {
-        if (row.address.key == s_poolKey || row.address == ownAddress() || isGenerationKey(row.address.key)) {
+        if (row.address.key == s_poolKey || isGenerationKey(row.address.key)) {
             continue;
         }
         const HolderRow other = holderRowFrom(row);
+        if (other.generation < m_generation) {
+            m_newestInCopy = std::max(m_newestInCopy, other.writtenAt);
+        }
+        if (row.address == ownAddress()) {
+            continue;
+        }
         const bool active = std::chrono::milliseconds(read.storeTime - other.writtenAt) < m_options.policy.staleAfter;
         m_unusedByOthers += other.granted - other.committed;
         m_unusedByActive += active ? other.granted - other.committed : 0;
         m_demandOfActive += active ? other.demand : 0;
         if (other.generation < m_generation) {
             outdated.push_back(other);
-            newestOutdated = std::max(newestOutdated, other.writtenAt);
         }
     }
     for (const HolderRow &other : outdated) {
         // A holder that had been dead or cut off for a while when the copy was made has drawn nothing since.
-        const bool drew = std::chrono::milliseconds(newestOutdated - other.writtenAt) < m_options.policy.staleAfter;
+        const bool drew = std::chrono::milliseconds(m_newestInCopy - other.writtenAt) < m_options.policy.silentBeforeCopy;
         m_reservedForOthers += drew ? std::max<Tokens>(0, other.draws.most(prepaid()) - other.granted) : 0;
     }
 }
 
+void TeamHolding::waitForLostRows(const RowsSnapshot &read, Instant now)
+{
+    if (m_generation == 0 || std::exchange(m_markChecked, true)) {
+        return;
+    }
+    const auto mark = std::ranges::find(read.rows, generationKey(m_generation), [](const StoredRow &row) {
+        return row.address.key;
+    });
+    Duration remaining = m_options.policy.restoreTime;
+    if (mark != read.rows.end()) {
+        remaining -= std::chrono::milliseconds(read.storeTime - markTimeFrom(*mark));
+    } else if (read.rows.empty()) {
+        // A team that is new, or whose rows were all lost.
+        remaining = Duration::zero();
+    }
+    m_drawsFrom = std::max(m_drawsFrom, now + remaining);
+}
+
 void TeamHolding::adoptMark(const StoredRow &row)
 {
     if (row.address.key == generationKey(m_generation)) {
@@ -337,14 +360,16 @@
     }
 }
 
-void TeamHolding::addGenerationMark(RowTransaction &transaction) const
+void TeamHolding::addGenerationMark(RowTransaction &transaction, Instant now) const
 {
     const RowAddress address{.table = std::string(s_budgetTable), .part = m_options.team, .key = generationKey(m_generation)};
     transaction.conditions.push_back({.address = address, .version = m_markVersion});
     if (m_markVersion != 0) {
         return;
     }
-    transaction.changes.push_back({.address = address, .value = std::string()});
+    // Holders that come later wait for lost rows only until then, and not at all for a team without rows.
+    const StoreTimeMs since = m_poolVersion != 0 || !m_outdatedMarks.empty() ? minStoreTime(now) : 0;
+    transaction.changes.push_back({.address = address, .value = markText(since)});
     for (const RowAddress &mark : m_outdatedMarks) {
         transaction.changes.push_back({.address = mark, .value = std::nullopt});
     }
@@ -365,6 +390,8 @@
     m_generation = generation;
     m_seenVersion = 0;
     m_markVersion = 0;
+    m_markChecked = false;
+    m_newestInCopy = 0;
     m_pool = {};
     m_poolVersion = 0;
     m_rowVersion = 0;
@@ -394,6 +421,9 @@
     const HolderRow seen = holderRowFrom(*row);
     if (seen.incarnation == m_options.incarnation) {
         m_countedInPool = seen.granted;
+        // The row is in the store again, so what it announced holds again.
+        m_announcements.push_back({.limit = seen.draws});
+        m_announcements.push_back({.limit = {.ceiling = seen.draws.older, .prepaid = seen.draws.prepaid}});
         return;
     }
     if (seen.generation == m_generation) {
@@ -416,12 +446,13 @@
         }
     }
     if (m_predecessor && m_predecessor->generation == m_generation) {
-        limit = std::min(limit, m_predecessor->draws.most(prepaid()) - spentByPredecessor());
+        const DrawLimit &inherited = m_predecessor->draws;
+        limit = std::min(limit, std::min(inherited.most(prepaid()), inherited.older) - spentByPredecessor());
     }
     return limit;
 }
 
-std::int64_t TeamHolding::drawShare(std::size_t routers, Instant now) const
+DrawLimit TeamHolding::drawLimit(Tokens granted, Tokens free, std::size_t routers, Instant now) const
 {
     const HoldingPolicy &policy = m_options.policy;
     const double own = demand(now);
@@ -429,7 +460,23 @@
     const double ownPart = ofAll > 0 ? own / ofAll : 0;
     const auto holders = static_cast<double>(std::max<std::size_t>(1, m_assignedCount.value_or(routers)));
     const double equalParts = m_assigned ? policy.headroomEqualParts / holders : 0;
-    return fraction(std::min(1.0, std::max(equalParts, policy.headroomFactor * ownPart)), DrawLimit::s_wholeShare);
+    const double share = std::min(1.0, std::max(equalParts, policy.headroomFactor * ownPart));
+    const double aim = own > 0 ? own * seconds(policy.holdingSpan) + static_cast<double>(s_extraRequests * typicalUse()) : 0;
+    double headroom = share * static_cast<double>(std::max<Tokens>(0, free));
+    if (aim > 0) {
+        headroom = std::clamp(headroom, policy.minHeadroom * aim, policy.maxHeadroom * aim);
+    }
+    headroom = std::max(headroom, policy.minHeadroomShare * static_cast<double>(prepaid()) / holders);
+    return {.ceiling = granted + static_cast<Tokens>(headroom),
+            .prepaid = prepaid(),
+            .share = fraction(share, DrawLimit::s_wholeShare),
+            .older = std::clamp<Tokens>(grantLimit(now), 0, DrawLimit::s_unlimited)};
+}
+
+bool TeamHolding::mayDraw(Instant now) const
+{
+    const bool leftByOthers = m_reservedForOthers == 0 || drawableInPool() > 0;
+    return now >= m_drawsFrom && leftByOthers && grantLimit(now) > (m_row ? m_row->granted : 0);
 }
 
 void TeamHolding::endAnnouncements(std::uint64_t flushSequence, Instant now)
@@ -560,7 +607,7 @@
     if (m_closing && closed()) {
         return std::nullopt;
     }
-    if (m_closing || m_restoring || held < m_waiting) {
+    if (m_closing || m_restoring || (held < m_waiting && mayDraw(now))) {
         return last + policy.urgentInterval;
     }
     if (m_inFlight || m_predecessor || (m_assigned && !m_row) || wantedChange(routers, now) != 0) {
@@ -581,8 +628,6 @@
 HolderRow TeamHolding::rowAfter(Tokens change, std::size_t routers, Instant now) const
 {
     const Tokens granted = (m_row ? m_row->granted : 0) + change;
-    const std::int64_t share = drawShare(routers, now);
-    const Tokens free = std::max<Tokens>(0, drawableInPool() - change);
     return {.incarnation = m_options.incarnation,
             .flushSequence = m_flushSequence,
             .granted = granted,
@@ -591,7 +636,7 @@
             .demand = static_cast<Tokens>(demand(now)),
             .writtenAt = minStoreTime(now),
             .generation = m_generation,
-            .draws = {.ceiling = granted + free / DrawLimit::s_wholeShare * share, .prepaid = prepaid(), .share = share}};
+            .draws = drawLimit(granted, drawableInPool() - change, routers, now)};
 }
 
 bool TeamHolding::canFlush() const
@@ -614,7 +659,7 @@
     Flush flush{.row = rowAfter(change, routers, now)};
     flush.removesRow = m_closing && m_reserved == 0 && !m_restoring;
     flush.transaction.conditions.push_back({.address = ownAddress(), .version = m_rowVersion});
-    addGenerationMark(flush.transaction);
+    addGenerationMark(flush.transaction, now);
     if (change != 0 || m_restoring || m_predecessor || m_poolVersion == 0 || flush.removesRow || m_borrowed > 0) {
         // Holders that write their rows again conflict over the pool, and a flush that may have been applied keeps what it returns.
         flush.returned = m_restoring ? 0 : std::exchange(m_borrowed, 0);
@@ -635,9 +680,11 @@
     const std::optional<std::string> value = flush.removesRow ? std::nullopt : std::optional(toText(flush.row));
     flush.transaction.changes.push_back({.address = ownAddress(), .value = value});
     if (m_predecessor && m_predecessor->generation == m_generation) {
-        DrawLimit inherited = m_predecessor->draws;
-        inherited.ceiling -= spentByPredecessor();
-        m_announcements.push_back({.limit = inherited});
+        const DrawLimit &inherited = m_predecessor->draws;
+        const Tokens spent = spentByPredecessor();
+        m_announcements.push_back(
+            {.limit = {.ceiling = inherited.ceiling - spent, .prepaid = inherited.prepaid, .share = inherited.share}});
+        m_announcements.push_back({.limit = {.ceiling = inherited.older - spent, .prepaid = inherited.prepaid}});
     }
     m_announcements.push_back({.flushSequence = m_flushSequence, .limit = flush.row.draws});
     m_inFlight = std::move(flush);
@@ -735,6 +782,9 @@
 void TeamHolding::flushDeclined()
 {
     if (m_inFlight && !m_inFlight->outcomeUnknown) {
+        std::erase_if(m_announcements, [this](const Announcement &announcement) {
+            return announcement.flushSequence == m_inFlight->row.flushSequence;
+        });
         abandonFlush();
     }
 }
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -303,13 +303,15 @@
     StoreTimeMs minStoreTime(Instant now) const;
     HolderRow rowAfter(Tokens change, std::size_t routers, Instant now) const;
     Tokens grantLimit(Instant now) const;
-    std::int64_t drawShare(std::size_t routers, Instant now) const;
+    DrawLimit drawLimit(Tokens granted, Tokens free, std::size_t routers, Instant now) const;
+    bool mayDraw(Instant now) const;
+    void waitForLostRows(const RowsSnapshot &read, Instant now);
     void beginGeneration(StoreGeneration generation, Instant now);
     void dropEarlierDraw(const StoredRow &row);
     void adoptCopiedRow(const StoredRow *row);
     void countOthers(const RowsSnapshot &read);
     void adoptMark(const StoredRow &row);
-    void addGenerationMark(RowTransaction &transaction) const;
+    void addGenerationMark(RowTransaction &transaction, Instant now) const;
     /// A flush has taken effect, so the rows of earlier ones are replaced.
     void endAnnouncements(std::uint64_t flushSequence, Instant now);
     void flushAnsweredAfterReturn(const RowTransactionResult &verdict, Instant now);
@@ -348,12 +350,16 @@
     std::vector<RowAddress> m_outdatedMarks;
     /// Whether this holder's row in the store is one that the store has returned from, and what the pool counts there for this address.
     bool m_restoring = false;
+    /// Whether the mark of the generation has been seen, or its absence.
+    bool m_markChecked = false;
     /// While others may be about to write rows again that the copy does not have, nothing is drawn.
     Instant m_drawsFrom{};
     Tokens m_countedInPool = 0;
     /// What the processes recovered by this one had spent, by incarnation.
     std::map<std::string, Tokens, std::less<>> m_spentByRecovered;
     std::vector<Announcement> m_announcements;
+    /// The newest time in a row of an earlier generation, which is about when the copy was made.
+    StoreTimeMs m_newestInCopy = 0;
     /// What the holders that have not written their row again since a return of the store may hold beyond it.
     Tokens m_reservedForOthers = 0;
     PoolRow m_pool;
--- a/src/tests/holdingfleet.h
+++ b/src/tests/holdingfleet.h
@@ -4,6 +4,7 @@
 
 #include "store/memoryrows.h"
 
+#include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
 #include <memory>
@@ -373,4 +374,74 @@
     }
 }
 
+/// Routers with rows of the team, all written within a moment.
+struct StartedFleet : Fleet {
+    StartedFleet()
+    {
+        for (std::size_t router = 0; router < s_routers; ++router) {
+            stabilize(router);
+        }
+        wait(1000);
+    }
+
+    void wait(std::int64_t time)
+    {
+        pass(ms(time), std::nullopt);
+    }
+
+    /// Flushes of a router for which requests of this many tokens wait. The first one may meet a pool that others have changed.
+    void draw(std::size_t router, Tokens waiting)
+    {
+        process(router).holding.addWaiting(waiting);
+        flush(router, Fate::Answered);
+        flush(router, Fate::Answered);
+        process(router).holding.removeWaiting(waiting);
+    }
+
+    /// Gives back what a router holds and does not need.
+    void giveUp(std::size_t router, Fate fate)
+    {
+        process(router).holding.servingSince(process(router).now - std::chrono::minutes(1));
+        flush(router, fate);
+    }
+
+    void spend(std::size_t router)
+    {
+        process(router).holding.addWaiting(s_prepaid);
+        checkpoint(router, Fate::Answered);
+        reserveAll(*this, process(router));
+        process(router).holding.removeWaiting(s_prepaid);
+    }
+
+    /// Writes a router's row with what it knows from a read.
+    void refresh(std::size_t router)
+    {
+        read(router);
+        flush(router, Fate::Answered);
+        read(router);
+    }
+
+    /// The routers 1 and 2 write their rows again and spend all that they can get while router 0 does not reach the store.
+    void spendRest()
+    {
+        refresh(1);
+        refresh(2);
+        for (int round = 0; round < 2 * 20; ++round) {
+            const std::size_t router = 1 + round % 2;
+            wait(500);
+            read(router);
+            draw(router, s_prepaid);
+            spend(router);
+        }
+    }
+
+    /// Writes of other parts, until the next transaction gets this version.
+    void writeElsewhereUntil(std::uint64_t next)
+    {
+        while (store().version() + 1 < next) {
+            BOOST_REQUIRE(store().transact({.changes = {{.address = {"other", "part", "row"}, .value = "text"}}}, 0).ok());
+        }
+    }
+};
+
 }
