Holders announce at least two equal parts of what is prepaid

Cause: a holder announces its headroom by what is free at that moment and by its demand; both are small when it starts or while others hold nearly everything, and it keeps to that for 15 s while others return tokens (trial with log lines: ceilings equal to the grant in the first row after a start). Change: the headroom is also at least two equal parts of the prepaid tokens; the upper bound by the aim is gone. The mark of a team without rows has a time before any other, since the store's clock has its own origin.

The price: what a dead holder may have drawn across a return counts as spent, and that is more now.

--- a/src/budget/holdingpolicy.h
+++ b/src/budget/holdingpolicy.h
@@ -64,12 +64,10 @@
     /// A holder announces that it may draw this multiple of its part of the pool by demand, or so many equal parts if that is more.
     double headroomFactor = 1.25;
     double headroomEqualParts = 3;
-    /// It announces at least `minHeadroom` times what it aims to hold, or this share of the prepaid tokens divided by the number of
-    /// holders, so that it can draw what others return; and at most `maxHeadroom` times, since all of it counts as spent when it dies
-    /// across a return.
+    /// It announces at least `minHeadroom` times what it aims to hold, and so many equal parts of all prepaid tokens, so that it can draw
+    /// what others return.
     double minHeadroom = 2;
-    double maxHeadroom = 6;
-    double minHeadroomShare = 0.05;
+    double minHeadroomParts = 2;
     /// A row that was older than this when the copy was made belongs to a holder that was dead or cut off. Longer than a host is suspended,
     /// because the time in a row does not include suspensions.
     Duration silentBeforeCopy = std::chrono::seconds(20);
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -368,7 +368,7 @@
         return;
     }
     // Holders that come later wait for lost rows only until then, and not at all for a team without rows.
-    const StoreTimeMs since = m_poolVersion != 0 || !m_outdatedMarks.empty() ? minStoreTime(now) : 0;
+    const StoreTimeMs since = m_poolVersion != 0 || !m_outdatedMarks.empty() ? minStoreTime(now) : -s_maxStoredValue;
     transaction.changes.push_back({.address = address, .value = markText(since)});
     for (const RowAddress &mark : m_outdatedMarks) {
         transaction.changes.push_back({.address = mark, .value = std::nullopt});
@@ -463,10 +463,7 @@
     const double share = std::min(1.0, std::max(equalParts, policy.headroomFactor * ownPart));
     const double aim = own > 0 ? own * seconds(policy.holdingSpan) + static_cast<double>(s_extraRequests * typicalUse()) : 0;
     double headroom = share * static_cast<double>(std::max<Tokens>(0, free));
-    if (aim > 0) {
-        headroom = std::clamp(headroom, policy.minHeadroom * aim, policy.maxHeadroom * aim);
-    }
-    headroom = std::max(headroom, policy.minHeadroomShare * static_cast<double>(prepaid()) / holders);
+    headroom = std::max({headroom, policy.minHeadroom * aim, policy.minHeadroomParts * static_cast<double>(prepaid()) / holders});
     return {.ceiling = granted + static_cast<Tokens>(headroom),
             .prepaid = prepaid(),
             .share = fraction(share, DrawLimit::s_wholeShare),
