Log by what an answer ended, and how much of an event was left over

The logs could not tell whether an answer that reached its caller short had ended by a close inside an event, by a close between events, by a reset, or by a length or chunks that were miscounted. request.ended and attempt.ended now name the framing of the answer, request.ended also the bytes after the last complete event; such an answer is always logged.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -249,6 +249,7 @@
         m_firstByteReceived = false;
         m_eventsBeforeAttempt = m_eventParser.eventCount();
         m_writingTime = Duration::zero();
+        m_framing.reset();
         m_connectionLost = false;
         m_connectTimedOut = false;
         m_lastReceivedAt = now;
@@ -399,6 +400,7 @@
                  {"target", m_placement->incarnation},
                  {"may_have_run", static_cast<std::int64_t>(outcome != AttemptOutcome::NotRun)},
                  {"problem", m_lastError},
+                 {"framing", m_framing ? framingName(*m_framing) : std::string_view()},
                  {"events", static_cast<std::int64_t>(m_eventParser.eventCount())},
                  {"after_ms", inMs(steadyNow() - m_attemptSentAt)}});
     }
@@ -522,6 +524,7 @@
     }
     const bool success = status >= s_minSuccessStatus && status < s_minRedirectStatus;
     m_hasSuccessStatus = success;
+    m_framing = call.framing();
     if (response.contentEncoded || (success && !response.sealed)) {
         m_lastError = response.contentEncoded ? "the body is encoded" : "no seal";
         m_targetSign = HealthSignal::ErrorResponse;
@@ -815,8 +818,9 @@
         m_gateway.m_metrics.observe("first_byte_seconds", {.name = "route", .value = route}, seconds(*m_firstByteAt - m_arrived));
     }
     const bool withinObjective = outcomeName == "answered" && m_firstByteAt && *m_firstByteAt - m_arrived <= m_route->latencyObjective;
+    const std::size_t incompleteBytes = m_eventParser.incompleteEvent().size();
     static std::uint64_t s_timelySuccesses = 0;
-    if (withinObjective && ++s_timelySuccesses % s_successLogInterval != 0) {
+    if (withinObjective && incompleteBytes == 0 && ++s_timelySuccesses % s_successLogInterval != 0) {
         return;
     }
     logLine(Severity::Info,
@@ -831,7 +835,9 @@
              {"service", m_serviceName},
              {"target", m_placement ? std::string_view(m_placement->incarnation) : std::string_view()},
              {"attempts", static_cast<std::int64_t>(m_triedTargets.size())},
+             {"framing", m_framing ? framingName(*m_framing) : std::string_view()},
              {"events", static_cast<std::int64_t>(m_eventParser.eventCount())},
+             {"incomplete_event_bytes", static_cast<std::int64_t>(incompleteBytes)},
              {"first_byte_ms", m_firstByteAt ? inMs(*m_firstByteAt - m_arrived) : -1},
              {"queued_ms", inMs(m_queued)},
              {"total_ms", inMs(now - m_arrived)},
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -149,6 +149,8 @@
     bool m_onTrial = false;
     /// The response of the current attempt has a success status.
     bool m_hasSuccessStatus = false;
+    /// What tells where the response of the current attempt ends; none before its head has arrived.
+    std::optional<AnswerFraming> m_framing;
     /// The current attempt lost its connection before its response was complete.
     bool m_connectionLost = false;
     /// The connection of the current attempt timed out, and whether this host's own network was the cause.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -87,6 +87,19 @@
 
 }
 
+std::string_view framingName(AnswerFraming framing)
+{
+    switch (framing) {
+    case AnswerFraming::Length:
+        return "length";
+    case AnswerFraming::Chunks:
+        return "chunks";
+    case AnswerFraming::Connection:
+        break;
+    }
+    return "connection";
+}
+
 HttpClient::HttpClient(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint, std::shared_ptr<Traffic> traffic)
     : m_executor(std::move(executor))
     , m_endpoint(std::move(endpoint))
@@ -321,6 +334,14 @@
     return m_parser->get();
 }
 
+AnswerFraming HttpStreamCall::framing() const
+{
+    if (m_parser->chunked()) {
+        return AnswerFraming::Chunks;
+    }
+    return m_parser->need_eof() ? AnswerFraming::Connection : AnswerFraming::Length;
+}
+
 asio::awaitable<absl::StatusOr<std::string>> HttpStreamCall::readSome()
 {
     m_chunk.resize(s_readChunkBytes);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -73,6 +73,19 @@
     bool bodyTooLarge = false;
 };
 
+/// What tells the reader of an answer where it ends.
+enum class AnswerFraming {
+    /// A Content-Length header, or a status without a body.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection, which looks the same when the sender crashes.
+    Connection,
+};
+
+/// Returns the name of the framing as it appears in logs.
+std::string_view framingName(AnswerFraming framing);
+
 /// An HTTP client for one endpoint. Keeps idle connections open for later calls. Bound to one event loop.
 class HttpClient
 {
@@ -142,6 +155,9 @@
     /// Returns the headers of the answer.
     const http::fields &headers() const;
 
+    /// Returns what tells where the answer ends.
+    AnswerFraming framing() const;
+
     /// Changes the timeout of each further wait.
     void setTimeout(Duration timeout)
     {
