Treat a stream that ends inside an event as broken off

What callers saw: streams that a target had broken off arrived with a short body and the end of an answer, as if they were complete; those whose route may be resumed were not continued.

Cause: an answer with neither a length nor chunks ends with its connection, and an orderly close of a target that crashes is then the end of the answer as far as HTTP goes. The gateway passed on what was left of the event and ended its own chunks.

Change: at the end of its answer a stream is complete only if nothing but comment lines follows the last complete event. Otherwise the attempt is interrupted like one that was reset: it is continued where the route allows it and ends visibly where not, counts against its target, and is reported to the quarantine. A stream that ends with its connection before its first event is broken off too, unless the caller resumes one. Lines that end with CR alone are recognised, since such streams would now be cut.

--- a/src/gateway/callercodec.h
+++ b/src/gateway/callercodec.h
@@ -25,6 +25,8 @@
     Tokens promptTokens = 0;
     Tokens maxOutputTokens = 0;
     std::vector<PromptPart> prompt;
+    /// The id of the last event that the caller has received of the stream that it resumes; empty if it does not resume one.
+    std::string resumeAfter;
 
     /// The most tokens that the request can use.
     Tokens worstCaseTokens() const
--- a/src/gateway/eventstreamparser.cpp
+++ b/src/gateway/eventstreamparser.cpp
@@ -1,6 +1,5 @@
 #include "gateway/eventstreamparser.h"
 
-#include <algorithm>
 #include <optional>
 
 namespace bamboohold {
@@ -8,21 +7,34 @@
 namespace {
 
 constexpr std::string_view s_idField = "id:";
+constexpr char s_commentMark = ':';
 
-/// The offset just after the blank line that ends the first complete event in the text. Lines end with LF or CRLF.
+/// A line of the stream, and the offset just after its end.
+struct Line {
+    std::string_view text;
+    std::size_t next = 0;
+};
+
+/// The line that begins at the offset; none when its end has not arrived. Lines end with LF, CRLF or CR.
+std::optional<Line> completeLine(std::string_view text, std::size_t begin)
+{
+    const std::size_t end = text.find_first_of("\r\n", begin);
+    if (end == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const bool crlf = text.substr(end).starts_with("\r\n");
+    return Line{.text = text.substr(begin, end - begin), .next = end + (crlf ? 2 : 1)};
+}
+
+/// The offset just after the blank line that ends the first complete event in the text.
 std::optional<std::size_t> endOfEvent(std::string_view text)
 {
-    std::size_t line = 0;
-    while (line < text.size()) {
-        const std::size_t end = text.find('\n', line);
-        if (end == std::string_view::npos) {
-            return std::nullopt;
-        }
-        const bool blank = end == line || (end == line + 1 && text[line] == '\r');
-        if (blank) {
-            return end + 1;
+    std::size_t begin = 0;
+    while (const std::optional<Line> line = completeLine(text, begin)) {
+        begin = line->next;
+        if (line->text.empty()) {
+            return begin;
         }
-        line = end + 1;
     }
     return std::nullopt;
 }
@@ -42,13 +54,24 @@
     return events;
 }
 
+bool EventStreamParser::insideEvent() const
+{
+    std::size_t begin = 0;
+    while (const std::optional<Line> line = completeLine(m_partial, begin)) {
+        if (!line->text.starts_with(s_commentMark)) {
+            return true;
+        }
+        begin = line->next;
+    }
+    return begin < m_partial.size();
+}
+
 void EventStreamParser::recordEventIds(std::string_view event)
 {
-    std::size_t line = 0;
-    while (line < event.size()) {
-        const std::size_t end = std::min(event.find('\n', line), event.size());
-        std::string_view text = event.substr(line, end - line);
-        line = end + 1;
+    std::size_t begin = 0;
+    while (const std::optional<Line> line = completeLine(event, begin)) {
+        begin = line->next;
+        std::string_view text = line->text;
         if (!text.starts_with(s_idField)) {
             continue;
         }
@@ -56,9 +79,6 @@
         while (text.starts_with(' ')) {
             text.remove_prefix(1);
         }
-        while (text.ends_with('\r')) {
-            text.remove_suffix(1);
-        }
         m_lastEventId = std::string(text);
         ++m_eventCount;
     }
--- a/src/gateway/eventstreamparser.h
+++ b/src/gateway/eventstreamparser.h
@@ -20,6 +20,9 @@
         return m_partial;
     }
 
+    /// Whether a stream that ends here was broken off: the bytes after the last complete event are more than complete comment lines.
+    bool insideEvent() const;
+
     /// Discards the incomplete event. Call before the stream is resumed at another target.
     void discardIncompleteEvent()
     {
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -620,6 +620,12 @@
         recordFirstByte();
         first = false;
         more = !piece->empty();
+        if (!more && brokenOff()) {
+            const std::string_view where = m_eventParser.insideEvent() ? "inside an event" : "before its first event";
+            const std::string detail = absl::StrCat("the stream ended ", std::string(where));
+            const AttemptOutcome outcome = handleInterruptedResponse(failed(FailureKind::AnswerIncomplete, detail, Executed::Yes));
+            co_return outcome;
+        }
         const std::string events = more ? m_eventParser.feed(*piece) : std::string(m_eventParser.incompleteEvent());
         if (events.empty()) {
             continue;
@@ -639,6 +645,12 @@
     co_return AttemptOutcome::Delivered;
 }
 
+bool RequestHandler::brokenOff() const
+{
+    const bool nothingForwarded = !m_streamStarted && m_metadata.resumeAfter.empty();
+    return m_eventParser.insideEvent() || (nothingForwarded && m_framing == AnswerFraming::Connection);
+}
+
 void RequestHandler::settle(AttemptOutcome outcome)
 {
     if (!m_reservation) {
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -75,6 +75,9 @@
     asio::awaitable<AttemptOutcome> receiveResponse(HttpStreamCall &call);
     asio::awaitable<AttemptOutcome> receiveBufferedResponse(HttpStreamCall &call);
     asio::awaitable<AttemptOutcome> forwardStream(HttpStreamCall &call);
+    /// Whether a stream that has ended is incomplete. The end of its connection looks the same as a crash of the target, so a stream that
+    /// ends with it before its first event is incomplete, too, unless the caller has all events already.
+    bool brokenOff() const;
     asio::awaitable<void> startCallerStream(HttpStreamCall &call);
     asio::awaitable<bool> forwardEvents(std::string_view events);
     asio::awaitable<void> finish(AttemptOutcome outcome);
--- a/src/tests/answersbrokenofftest.cpp
+++ b/src/tests/answersbrokenofftest.cpp
@@ -108,6 +108,13 @@
     }
 }
 
+// A caller that has all events of the stream that it resumes gets none.
+BOOST_AUTO_TEST_CASE(resumedStreamMayBeEmpty)
+{
+    GatewayFixture fixture({{untilClose("")}});
+    BOOST_TEST(isCompleteStream(fixture.exchange(request("/resume/", "X-Key: key\r\nX-Last: 9\r\n"))));
+}
+
 // Guards against a reset or a silence that is taken for the end of an answer that ends with its connection.
 BOOST_AUTO_TEST_CASE(resetAndSilenceDoNotEndAnAnswer)
 {
--- a/src/tests/eventstreamtest.cpp
+++ b/src/tests/eventstreamtest.cpp
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <set>
+
 using namespace bamboohold;
 
 BOOST_AUTO_TEST_SUITE(EventStreamTest)
@@ -14,7 +16,7 @@
         std::string text;
         const auto events = *rc::gen::inRange(0, 12);
         for (int id = 1; id <= events; ++id) {
-            const std::string end = *rc::gen::arbitrary<bool>() ? "\n" : "\r\n";
+            const std::string end = *rc::gen::element<std::string>("\n", "\r\n", "\r");
             text += "id: " + std::to_string(id) + end + "data: " + std::string(*rc::gen::inRange(0, 40), 'x') + end + end;
         }
         const std::string incomplete = "id: 99\ndata: to";
@@ -34,6 +36,34 @@
     }));
 }
 
+// Guards against a stream that was cut inside an event and is taken for complete, and against a complete one that is taken for cut.
+BOOST_AUTO_TEST_CASE(aStreamThatIsCutAnywhereIsInsideAnEventUnlessTheEventIsComplete)
+{
+    BOOST_TEST(rc::check("a cut is inside an event except after its blank line and after comment lines", [] {
+        std::string text;
+        std::set<std::size_t> between{0};
+        const auto blocks = *rc::gen::inRange(1, 8);
+        for (int id = 1; id <= blocks; ++id) {
+            const std::string end = *rc::gen::element<std::string>("\n", "\r\n", "\r");
+            const bool comment = *rc::gen::arbitrary<bool>();
+            text +=
+                comment ? ": note" + end : "id: " + std::to_string(id) + end + "data: " + std::string(*rc::gen::inRange(0, 9), 'x') + end;
+            // A line is complete with the first byte of its end.
+            for (std::size_t byte = 0; comment && byte < end.size(); ++byte) {
+                between.insert(text.size() - byte);
+            }
+            text += end;
+            for (std::size_t byte = 0; byte < end.size(); ++byte) {
+                between.insert(text.size() - byte);
+            }
+        }
+        const auto cut = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+        EventStreamParser parser;
+        parser.feed(std::string_view(text).substr(0, cut));
+        RC_ASSERT(parser.insideEvent() == !between.contains(cut));
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(discardDropsTheIncompleteEvent)
 {
     EventStreamParser parser;
--- a/src/tests/gatewayfixture.cpp
+++ b/src/tests/gatewayfixture.cpp
@@ -27,6 +27,7 @@
     codec.readRequest = [](const http::fields &fields) -> absl::StatusOr<RequestMetadata> {
         RequestMetadata metadata{
             .requestId = std::string(fields["X-Id"]), .callerTimeout = std::chrono::seconds(3), .apiKey = std::string(fields["X-Key"])};
+        metadata.resumeAfter = std::string(fields["X-Last"]);
         metadata.promptTokens = fields.count("X-Tokens") > 0 ? 10 : 0;
         if (fields.count("X-Prompt") > 0) {
             metadata.prompt = {{.id = 1, .tokens = 2000}};
