Charge a stream that its target closed in order by its events

Cause: every interrupted attempt was charged the worst case, because what was generated and lost on the way is unknown. Of a stream that its target closes in order inside an event, all has arrived, and the team paid for tokens that nobody generated.

Change: such attempts are charged the prompt once, their complete events, and one more for the event of which a part has arrived; never more than the worst case. Attempts that were reset, timed out or fell silent are charged the worst case as before, since what they generated is not known.

Measured: RequestCostTest/streamClosedInsideAnEventIsChargedByItsEvents fails with the change taken out (3 checks) and passes with it.

--- a/src/gateway/requestcost.cpp
+++ b/src/gateway/requestcost.cpp
@@ -1,5 +1,7 @@
 #include "gateway/requestcost.h"
 
+#include <algorithm>
+
 namespace bamboohold {
 
 namespace {
@@ -18,7 +20,11 @@
     if (use.hasUncountedAttempt) {
         return metadata.worstCaseTokens();
     }
-    const auto events = static_cast<Tokens>(use.events);
+    const auto events = static_cast<Tokens>(use.events + use.closedInOrder);
+    const bool interrupted = use.outcome == AttemptOutcome::Incomplete || use.outcome == AttemptOutcome::NotRun;
+    if (interrupted && use.possibleExecutions == use.closedInOrder) {
+        return std::min(metadata.promptTokens + events * use.tokensPerEvent, metadata.worstCaseTokens());
+    }
     if (use.outcome == AttemptOutcome::Delivered && use.streamed) {
         return metadata.promptTokens + events * use.tokensPerEvent;
     }
--- a/src/gateway/requestcost.h
+++ b/src/gateway/requestcost.h
@@ -14,6 +14,9 @@
     unsigned possibleExecutions = 0;
     /// An attempt other than the last one was interrupted, so the tokens that it generated were not counted.
     bool hasUncountedAttempt = false;
+    /// Attempts whose stream the target closed in order before it was complete. All that was generated has arrived then, the last event
+    /// perhaps in part.
+    unsigned closedInOrder = 0;
     /// Whether the response was a stream, how many of its events were forwarded, and the most tokens that one event holds.
     bool streamed = false;
     std::uint64_t events = 0;
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -432,7 +432,7 @@
         return false;
     }
     if (outcome == AttemptOutcome::Incomplete) {
-        m_hasUncountedAttempt = true;
+        m_hasUncountedAttempt = m_possibleExecutions > m_closedInOrder;
         m_eventParser.discardIncompleteEvent();
     }
     return true;
@@ -623,6 +623,7 @@
         if (!more && brokenOff()) {
             const std::string_view where = m_eventParser.insideEvent() ? "inside an event" : "before its first event";
             const std::string detail = absl::StrCat("the stream ended ", std::string(where));
+            ++m_closedInOrder;
             const AttemptOutcome outcome = handleInterruptedResponse(failed(FailureKind::AnswerIncomplete, detail, Executed::Yes));
             co_return outcome;
         }
@@ -660,6 +661,7 @@
                                    {.outcome = outcome,
                                     .possibleExecutions = m_possibleExecutions,
                                     .hasUncountedAttempt = m_hasUncountedAttempt,
+                                    .closedInOrder = m_closedInOrder,
                                     .streamed = m_streamStarted,
                                     .events = m_eventParser.eventCount(),
                                     .tokensPerEvent = m_service != nullptr ? m_service->tokensPerEvent : 1});
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -129,6 +129,8 @@
     unsigned m_attemptsSent = 0;
     /// An attempt other than the last one was interrupted, so the tokens that it delivered were not counted.
     bool m_hasUncountedAttempt = false;
+    /// Attempts whose stream the target closed in order before it was complete.
+    unsigned m_closedInOrder = 0;
     bool m_callerDisconnected = false;
     HttpStreamCall *m_activeCall = nullptr;
 
--- a/src/tests/requestcosttest.cpp
+++ b/src/tests/requestcosttest.cpp
@@ -47,4 +47,33 @@
     BOOST_TEST(usedTokens(s_metadata, left) > 120);
 }
 
+// Guards against a team that pays the worst case for each stream that a crash of its target has ended, though all of it has arrived.
+BOOST_AUTO_TEST_CASE(streamClosedInsideAnEventIsChargedByItsEvents)
+{
+    const RequestUsage broken{.outcome = AttemptOutcome::Incomplete,
+                              .possibleExecutions = 1,
+                              .closedInOrder = 1,
+                              .streamed = true,
+                              .events = 7,
+                              .tokensPerEvent = 3};
+    BOOST_TEST(usedTokens(s_metadata, broken) == 124);
+    RequestUsage beforeFirstEvent = broken;
+    beforeFirstEvent.events = 0;
+    beforeFirstEvent.streamed = false;
+    BOOST_TEST(usedTokens(s_metadata, beforeFirstEvent) == 103);
+    RequestUsage continued = broken;
+    continued.outcome = AttemptOutcome::Delivered;
+    continued.possibleExecutions = 2;
+    BOOST_TEST(usedTokens(s_metadata, continued) == 124);
+    RequestUsage declinedElsewhere = broken;
+    declinedElsewhere.outcome = AttemptOutcome::NotRun;
+    BOOST_TEST(usedTokens(s_metadata, declinedElsewhere) == 124);
+    RequestUsage longer = broken;
+    longer.events = 1000;
+    BOOST_TEST(usedTokens(s_metadata, longer) == s_worstCase);
+    RequestUsage resetBefore = broken;
+    resetBefore.hasUncountedAttempt = true;
+    BOOST_TEST(usedTokens(s_metadata, resetBefore) == s_worstCase);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
