Relay a reset or a silence of the store as a reset

Cause: the relay closed the router's connection in order whatever had ended the store's side. An answer without a length that was reset on its way to the relay, or fell silent, thus ended for the router with an orderly close, as a complete one does. Rows are JSON objects, so a part of one is refused by the parser; nothing else guarded against it.

Change: the router's connection is closed in order only if the store's was, else it is reset.

Measured: TcpRelayTest/brokenAnswersAreNotClosedInOrder fails with the change taken out (reset and silence) and passes with it.

--- a/src/net/tcprelay.cpp
+++ b/src/net/tcprelay.cpp
@@ -38,9 +38,13 @@
     {
     }
 
+    /// Closes both connections. An answer may end with its connection, so the caller's one is closed in order only if the upstream was.
     void closeBoth()
     {
         boost::system::error_code ignored;
+        if (!upstreamClosedInOrder) {
+            caller.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
         caller.close(ignored);
         upstream.close(ignored);
         timer.cancel();
@@ -51,6 +55,7 @@
     asio::steady_timer timer;
     /// The time at which the session is closed unless data is forwarded before.
     Instant deadline{};
+    bool upstreamClosedInOrder = false;
 };
 
 TcpRelay::TcpRelay(asio::any_io_executor executor, Options options)
@@ -142,6 +147,7 @@
         session->deadline = steadyNow() + m_options.idleTimeout;
         auto [readError, size] = co_await from.async_read_some(asio::buffer(chunk), s_tuple);
         if (readError) {
+            session->upstreamClosedInOrder = !fromCaller && readError == asio::error::eof;
             break;
         }
         auto [writeError, written] = co_await asio::async_write(to, asio::buffer(chunk.data(), size), s_tuple);
--- a/src/tests/tcprelaytest.cpp
+++ b/src/tests/tcprelaytest.cpp
@@ -10,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <optional>
 #include <string>
 
 using namespace bamboohold;
@@ -37,6 +38,40 @@
     co_await asio::async_write(socket, asio::buffer(answer), s_tuple);
 }
 
+/// How the upstream ends an answer that it has sent in part.
+enum class Ending {
+    Close,
+    Reset,
+    Silence,
+};
+
+/// Accepts one connection, sends a part of an answer and ends it in this way.
+asio::awaitable<void> replyInPart(tcp::acceptor &acceptor, Ending ending)
+{
+    auto [error, socket] = co_await acceptor.async_accept(s_tuple);
+    BOOST_REQUIRE(!error);
+    co_await asio::async_write(socket, asio::buffer(std::string("po")), s_tuple);
+    std::array<char, 8> bytes{};
+    co_await socket.async_read_some(asio::buffer(bytes), s_tuple);
+    if (ending == Ending::Silence) {
+        co_await socket.async_read_some(asio::buffer(bytes), s_tuple);
+    }
+    socket.set_option(asio::socket_base::linger(ending == Ending::Reset, 0));
+    socket.close();
+}
+
+/// Sends four bytes once a part of the answer has arrived, and waits for the end of the connection.
+asio::awaitable<void> readToTheEnd(std::uint16_t port, std::optional<boost::system::error_code> &end)
+{
+    tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect(loopback(port), s_tuple);
+    std::array<char, 2> bytes{};
+    co_await asio::async_read(socket, asio::buffer(bytes), s_tuple);
+    co_await asio::async_write(socket, asio::buffer(std::string("ping")), s_tuple);
+    const auto [error, size] = co_await asio::async_read(socket, asio::buffer(bytes), s_tuple);
+    end = error;
+}
+
 /// Sends four bytes through the relay and reads everything that comes back until the connection ends.
 asio::awaitable<void> sendPing(std::uint16_t port, std::string &answer, bool &closed)
 {
@@ -71,6 +106,25 @@
     BOOST_TEST(answer == "pong");
 }
 
+// Guards against an answer without a length that was reset or fell silent, and that the relay closes in order, as if it were complete.
+BOOST_AUTO_TEST_CASE(brokenAnswersAreNotClosedInOrder)
+{
+    for (const Ending ending : {Ending::Close, Ending::Reset, Ending::Silence}) {
+        asio::io_context loop;
+        tcp::acceptor store(loop, loopback(0));
+        TcpRelay relay(loop.get_executor(),
+                       {.listen = loopback(0), .upstream = store.local_endpoint(), .idleTimeout = std::chrono::milliseconds(100)});
+        BOOST_REQUIRE(relay.open().ok());
+        std::optional<boost::system::error_code> end;
+        asio::co_spawn(loop, replyInPart(store, ending), asio::detached);
+        asio::co_spawn(loop, readToTheEnd(relay.port(), end), asio::detached);
+        while (!end) {
+            loop.run_one();
+        }
+        BOOST_TEST((*end == asio::error::eof) == (ending == Ending::Close));
+    }
+}
+
 // The relay's host cannot reach the store either. The relay closes the router's connection at once, so that the router tries another relay
 // instead of waiting for its own timeout.
 BOOST_AUTO_TEST_CASE(callerIsDisconnectedWhenStoreIsUnreachable)
