Do not trust objects of the platform that end with their connection

Cause: the client took an answer without a length or chunks for complete when its connection closed in order. Of rows and claims, which are JSON objects, a part is refused by the parser; of an object a part was returned as the whole.

Change: HttpReply tells by what it ended, and PlatformClient fails with TableUnreachable (not known whether it ran) for an answer that ended with its connection. The platform always states a length.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -76,6 +76,15 @@
     return std::chrono::seconds(whole);
 }
 
+template<typename Parser>
+AnswerFraming framingOf(const Parser &parser)
+{
+    if (parser.chunked()) {
+        return AnswerFraming::Chunks;
+    }
+    return parser.need_eof() ? AnswerFraming::Connection : AnswerFraming::Length;
+}
+
 bool hasNoPendingInput(asio::ip::tcp::socket &socket)
 {
     boost::system::error_code error;
@@ -239,6 +248,7 @@
         co_return received;
     }
     reply.status = parser.get().result_int();
+    reply.framing = framingOf(parser);
     reply.contentType = std::string(parser.get()[http::field::content_type]);
     reply.body = std::move(parser.get().body());
     reply.headers = parser.get();
@@ -336,10 +346,7 @@
 
 AnswerFraming HttpStreamCall::framing() const
 {
-    if (m_parser->chunked()) {
-        return AnswerFraming::Chunks;
-    }
-    return m_parser->need_eof() ? AnswerFraming::Connection : AnswerFraming::Length;
+    return framingOf(*m_parser);
 }
 
 asio::awaitable<absl::StatusOr<std::string>> HttpStreamCall::readSome()
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -61,18 +61,6 @@
     std::function<bool(const http::fields &)> matchesRequest;
 };
 
-/// A complete answer.
-struct HttpReply {
-    unsigned status = 0;
-    std::string contentType;
-    std::string body;
-    http::fields headers;
-    /// Time until the head of the answer arrived. It measures how long the peer took, without the transfer of the body.
-    Duration headDelay{};
-    /// True when the body exceeded maxReplyBodyBytes and was not read.
-    bool bodyTooLarge = false;
-};
-
 /// What tells the reader of an answer where it ends.
 enum class AnswerFraming {
     /// A Content-Length header, or a status without a body.
@@ -86,6 +74,19 @@
 /// Returns the name of the framing as it appears in logs.
 std::string_view framingName(AnswerFraming framing);
 
+/// A complete answer.
+struct HttpReply {
+    unsigned status = 0;
+    std::string contentType;
+    std::string body;
+    http::fields headers;
+    AnswerFraming framing = AnswerFraming::Length;
+    /// Time until the head of the answer arrived. It measures how long the peer took, without the transfer of the body.
+    Duration headDelay{};
+    /// True when the body exceeded maxReplyBodyBytes and was not read.
+    bool bodyTooLarge = false;
+};
+
 /// An HTTP client for one endpoint. Keeps idle connections open for later calls. Bound to one event loop.
 class HttpClient
 {
@@ -155,7 +156,7 @@
     /// Returns the headers of the answer.
     const http::fields &headers() const;
 
-    /// Returns what tells where the answer ends.
+    /// Returns what tells where the answer ends. Call after start().
     AnswerFraming framing() const;
 
     /// Changes the timeout of each further wait.
--- a/src/store/platformclient.cpp
+++ b/src/store/platformclient.cpp
@@ -58,6 +58,10 @@
     if (!reply.ok()) {
         co_return failed(FailureKind::TableUnreachable, reply.status().message().data(), Executed::Unknown);
     }
+    if (reply->framing == AnswerFraming::Connection) {
+        // The platform may have crashed within an object, which nothing else would show.
+        co_return failed(FailureKind::TableUnreachable, "the platform's answer has no length", Executed::Unknown);
+    }
     if (reply->status != s_ok && reply->status != s_notFound) {
         co_return failed(FailureKind::TableUnreachable, absl::StrCat("the platform answered ", reply->status), Executed::Unknown);
     }
