Do not take a JSON answer that an engine's crash cut for complete

Cause: the sidecar looked for the end marker of event streams only. A plain answer without a length or chunks was complete when its connection closed, which the system also does for a crashed engine; the caller got half of a JSON document with status 200, and the run was reported as complete.

Change: a JSON answer that ends with its connection is complete only if it is a whole document (AnswerCompleteness, without I/O). Answers of other types that end so show nothing and count as complete, as before.

--- a/src/engine/sidecar.cpp
+++ b/src/engine/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "budget/budgetrows.h"
 #include "clock/steadytime.h"
+#include "engine/answercompleteness.h"
 #include "engine/sidecardrain.h"
 #include "link/framecodec.h"
 #include "net/incarnation.h"
@@ -405,7 +406,7 @@
     AnswerFrame::End end{.end = RunEnd::Complete};
     const std::uint32_t attempt = run.dispatch.attempt();
     const std::string type = call.contentType();
-    const bool eventStream = type.starts_with("text/event-stream");
+    AnswerCompleteness completeness(call.framing(), type);
     bool promptReported = false;
     sendFrame(run,
               {.attempt = attempt, .sequence = run.sequence++, .content = AnswerFrame::Head{.status = call.status(), .contentType = type}});
@@ -419,6 +420,7 @@
             break;
         }
         scanner.feed(*chunk);
+        completeness.feed(*chunk);
         if (run.cancelled) {
             continue;
         }
@@ -432,8 +434,7 @@
         sendFrame(run, {.attempt = attempt, .sequence = run.sequence++, .content = AnswerFrame::Data{.bytes = *std::move(chunk)}});
         co_await waitForCredit(run);
     }
-    // The connection of a crashed engine can be closed normally; only the end-of-stream marker shows that a stream is complete.
-    if (end.end == RunEnd::Complete && eventStream && !scanner.sawEndOfStream()) {
+    if (end.end == RunEnd::Complete && !completeness.complete(scanner)) {
         end.end = RunEnd::FailedAfterRunning;
     }
     // The usage of an interrupted response is lower than what the engine really used. Only the usage of a complete response is trusted;
