Live check: engines end their answers with the connection

The stand-in engine could not answer without a length or chunks, so no check on running processes played an answer that is broken off by an orderly close. FaultSwitch has the mode break_off (with the number of bytes after which it closes), and check-live.py plays it with four sizes. Callers count an answer that ended as its framing promises, but is no whole stream or document, as cut_but_looked_whole, which must be 0 in every trial.

--- a/scripts/check-live.py
+++ b/scripts/check-live.py
@@ -11,7 +11,7 @@
 import quickstart
 
 SUBMITTERS = 2
-TRIALS = (measurebudgets.answers_lost, measurebudgets.router_killed, measurerequests.routers_drain)
+TRIALS = (measurebudgets.answers_lost, measurebudgets.router_killed, measurerequests.routers_drain, measurerequests.answers_broken_off)
 
 
 def main():
--- a/scripts/livetrial.py
+++ b/scripts/livetrial.py
@@ -68,12 +68,22 @@
             return outcome
         fingerprint = f"fp-{zlib.crc32(prompt.encode())}"
         pieces = [line[6:] for line in text.splitlines() if line.startswith("data: {")] if stream else [text]
-        whole = not stream or text.rstrip().endswith("data: [DONE]")
+        whole = text.rstrip().endswith("data: [DONE]") if stream else is_json(text)
         outcome["told"] = "answered" if whole else "cut"
+        # The answer has the end that its framing promises, so a caller that does not know its content takes it for whole.
+        outcome["looked_whole"] = not whole
         outcome["crossed"] = any(fingerprint not in piece for piece in pieces if '"choices":[{"index":0,"text"' in piece)
         return outcome
 
 
+def is_json(text):
+    try:
+        json.loads(text)
+    except ValueError:
+        return False
+    return True
+
+
 class SplitRequest:
     """A request whose body is sent in two halves. The router's 100 Continue shows that it has begun to read it before the first half is sent."""
 
@@ -137,8 +147,8 @@
     def outcomes(self):
         return [outcome for caller in self.callers for outcome in caller.outcomes]
 
-    def fault(self, url, mode, milliseconds=0):
-        fleetlib.call(url, f"/fault?mode={mode}&ms={milliseconds}", method="POST")
+    def fault(self, url, mode, milliseconds=0, body_bytes=0):
+        fleetlib.call(url, f"/fault?mode={mode}&ms={milliseconds}&bytes={body_bytes}", method="POST")
 
     def platform_fault(self, mode, milliseconds=0):
         self.fault(self.fleet["platform"]["url"], mode, milliseconds)
@@ -227,6 +237,7 @@
             "connection_refused": told["connection_refused"],
             "lost_with_the_router": told["lost"],
             "crossed": sum(1 for outcome in outcomes if outcome["crossed"]),
+            "cut_but_looked_whole": sum(1 for outcome in outcomes if outcome.get("looked_whole")),
             "run_twice": sum(1 for count in runs.values() if count > 1),
             "wrongly_told_not_run": sum(1 for outcome in outcomes if outcome["told"] == "not_run" and runs[outcome["request"]] and outcome["request"]),
             "billed_more_than_once": sum(1 for count in lines.values() if count > 1),
@@ -245,7 +256,7 @@
         fleetlib.down()
 
 
-WRONG = ("crossed", "run_twice", "wrongly_told_not_run", "billed_more_than_once", "ran_but_unbilled", "billed_less_than_ran", "overspent_tokens",
+WRONG = ("crossed", "cut_but_looked_whole", "run_twice", "wrongly_told_not_run", "billed_more_than_once", "ran_but_unbilled", "billed_less_than_ran", "overspent_tokens",
          "budgets_out_of_balance", "ledger_differs_from_row")
 
 # What a planned drain must leave at 0. A router that reports neither number has not ended in good order.
--- a/scripts/measurerequests.py
+++ b/scripts/measurerequests.py
@@ -15,6 +15,8 @@
 LEAVING_GRACE_MS = 3000
 TRIES = 6
 SPLIT_REQUESTS = 4
+# Bytes of an engine's answer: none, a part of an event, some events and a part of one, and more than any answer has.
+BROKEN_OFF_AT = (0, 90, 1500, 10_000_000)
 SPLIT_HOLD_SECONDS = 3
 WRONG = ("submissions_run_twice", "submissions_answered_but_not_run", "submissions_wrongly_told_not_run")
 
@@ -121,6 +123,18 @@
     time.sleep(4)
 
 
+def answers_broken_off(trial):
+    """Engines end their answers with the connection, in order: inside an event or a document, before the first byte, and whole."""
+    time.sleep(1)
+    for body_bytes in BROKEN_OFF_AT:
+        for engine in trial.fleet["engines"]:
+            trial.fault(engine["url"], "break_off", body_bytes=body_bytes)
+        time.sleep(1)
+    for engine in trial.fleet["engines"]:
+        trial.fault(engine["url"], "none")
+    time.sleep(2)
+
+
 def table_down(trial):
     time.sleep(2)
     trial.platform_fault("down")
@@ -129,7 +143,7 @@
     time.sleep(3)
 
 
-TRIALS = (routers_killed, routers_paused, sidecars_and_engines_killed, target_leaves, routers_drain, table_down)
+TRIALS = (routers_killed, routers_paused, sidecars_and_engines_killed, target_leaves, routers_drain, answers_broken_off, table_down)
 
 
 def submissions(trial, submitters):
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -168,6 +168,11 @@
 HttpExchange::respond(unsigned status, std::string_view contentType, std::string body, std::vector<HttpHeader> headers)
 {
     std::string text = head(status, contentType, headers);
+    if (m_remainingBody) {
+        co_await send(text.append("\r\n"));
+        co_await sendUnframed(body);
+        co_return;
+    }
     appendHeader(text, "Content-Length", absl::StrCat(body.size()));
     text.append("\r\n");
     const std::string_view sentBody = m_request.method() == http::verb::head ? std::string_view() : std::string_view(body);
@@ -177,13 +182,26 @@
 asio::awaitable<bool> HttpExchange::beginStream(unsigned status, std::string_view contentType, std::vector<HttpHeader> headers)
 {
     std::string text = head(status, contentType, headers);
-    appendHeader(text, "Transfer-Encoding", "chunked");
+    if (!m_remainingBody) {
+        appendHeader(text, "Transfer-Encoding", "chunked");
+    }
     text.append("\r\n");
     co_return co_await send(text);
 }
 
+asio::awaitable<bool> HttpExchange::sendUnframed(std::string_view data)
+{
+    const std::string_view part = data.substr(0, *m_remainingBody);
+    *m_remainingBody -= part.size();
+    const bool sent = co_await send(part);
+    co_return sent &&part.size() == data.size();
+}
+
 asio::awaitable<bool> HttpExchange::writeChunk(std::string_view data)
 {
+    if (m_remainingBody) {
+        co_return co_await sendUnframed(data);
+    }
     std::array<char, 20> size{};
     const auto end = std::to_chars(size.data(), size.data() + 16, data.size(), 16).ptr;
     end[0] = '\r';
@@ -194,6 +212,9 @@
 
 asio::awaitable<bool> HttpExchange::endStream()
 {
+    if (m_remainingBody) {
+        co_return m_open;
+    }
     co_return co_await send("0\r\n\r\n");
 }
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -89,6 +89,14 @@
         return m_responseDiscarded;
     }
 
+    /// Sends the answer without a length or chunks, and closes the connection in order after this many bytes of its body, if it is longer.
+    /// Used by stand-ins that simulate a crash.
+    void breakOffAfter(std::size_t bodyBytes)
+    {
+        m_remainingBody = bodyBytes;
+        m_connectionClose = true;
+    }
+
     /// Returns true when the caller has already closed its side. Queries the kernel, so it also detects a close that the event loop has not
     /// processed yet.
     bool isCallerDisconnected();
@@ -119,6 +127,9 @@
 
     asio::awaitable<bool> send(std::string_view first, std::string_view second = {}, std::string_view third = {});
 
+    /// Sends the next part of the body of an answer that is broken off. Returns false at its end.
+    asio::awaitable<bool> sendUnframed(std::string_view data);
+
     std::string head(unsigned status, std::string_view contentType, const std::vector<HttpHeader> &headers) const;
 
     beast::tcp_stream &m_stream;
@@ -129,6 +140,8 @@
     bool m_open = true;
     bool m_answered = false;
     bool m_responseDiscarded = false;
+    /// The rest of the body that is sent before the answer is broken off; none: it is sent completely.
+    std::optional<std::size_t> m_remainingBody;
 };
 
 using HttpHandler = std::function<asio::awaitable<void>(HttpExchange &)>;
--- a/src/standin/faultswitch.cpp
+++ b/src/standin/faultswitch.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -25,6 +26,7 @@
     ModeName{FaultSwitch::Mode::Slow, "slow"},
     ModeName{FaultSwitch::Mode::AnswerLost, "answer_lost"},
     ModeName{FaultSwitch::Mode::Freeze, "freeze"},
+    ModeName{FaultSwitch::Mode::BreakOff, "break_off"},
 };
 
 constexpr std::int64_t s_freezePollMs = 20;
@@ -68,13 +70,17 @@
         if (entry.name == wanted) {
             std::int64_t milliseconds = 0;
             (void)absl::SimpleAtoi(queryParameter(exchange, "ms"), &milliseconds);
+            std::int64_t bytes = 0;
+            (void)absl::SimpleAtoi(queryParameter(exchange, "bytes"), &bytes);
             m_delayMs = milliseconds;
+            m_bodyBytes = std::max<std::int64_t>(bytes, 0);
             m_mode = entry.mode;
             known = true;
         }
     }
     if (!known) {
-        const Failure failure{.kind = FailureKind::InvalidRequest, .detail = "mode must be none, down, slow, answer_lost or freeze"};
+        const Failure failure{.kind = FailureKind::InvalidRequest,
+                              .detail = "mode must be none, down, slow, answer_lost, freeze or break_off"};
         co_await exchange.respond(400, "application/json", errorBody(failure, ""));
         co_return;
     }
@@ -102,6 +108,9 @@
     if (m_mode == Mode::AnswerLost) {
         exchange.discardResponse();
     }
+    if (m_mode == Mode::BreakOff && exchange.request().method() == http::verb::post) {
+        exchange.breakOffAfter(static_cast<std::size_t>(m_bodyBytes.load()));
+    }
     co_await handler(exchange);
     if (exchange.isResponseDiscarded()) {
         exchange.abortConnection();
--- a/src/standin/faultswitch.h
+++ b/src/standin/faultswitch.h
@@ -10,7 +10,7 @@
 
 namespace bamboohold {
 
-/// Injects faults into a stand-in. The fault is set with `POST /fault?mode=MODE&ms=N` and read with `GET /fault`.
+/// Injects faults into a stand-in. The fault is set with `POST /fault?mode=MODE&ms=N`, or `&bytes=N`, and read with `GET /fault`.
 class FaultSwitch
 {
 public:
@@ -24,6 +24,9 @@
         AnswerLost,
         /// Holds all requests until the mode changes.
         Freeze,
+        /// Sends the answers to POST requests without a length or chunks, and closes their connections in order after the number of bytes
+        /// given with the mode.
+        BreakOff,
     };
 
     /// Returns a handler that serves `/fault` itself and applies the current fault to all requests for `handler`.
@@ -42,6 +45,7 @@
 
     std::atomic<Mode> m_mode = Mode::None;
     std::atomic<std::int64_t> m_delayMs = 0;
+    std::atomic<std::int64_t> m_bodyBytes = 0;
 };
 
 /// Returns a parameter of a request's query string, or an empty string if it is absent.
