--- a/src/gateway/callercodec.h
+++ b/src/gateway/callercodec.h
@@ -27,6 +27,8 @@
     std::vector<PromptPart> prompt;
     /// The id of the last event that the caller has received of the stream that it resumes; empty if it does not resume one.
     std::string resumeAfter;
+    /// The id of the caller's request whose answer had the first event of that stream; empty if the caller names none.
+    std::string resumes;
 
     /// The most tokens that the request can use.
     Tokens worstCaseTokens() const
--- a/src/gateway/targetbalancer.h
+++ b/src/gateway/targetbalancer.h
@@ -41,6 +41,8 @@
     /// The name that a process at the address must have to run the request.
     std::string name;
     std::string address;
+    /// The version of the target's software; empty when it is not known.
+    std::string version;
     /// Prompt tokens that the target probably has to process.
     Tokens uncachedTokens = 0;
     /// Prompt tokens of all routers, as far as they are known, that the target has to process before those of the request.
--- a/src/gateway/targetfollower.cpp
+++ b/src/gateway/targetfollower.cpp
@@ -116,6 +116,7 @@
             {{"target", listing->incarnation},
              {"service", listing->service},
              {"address", listing->address},
+             {"version", listing->version},
              {"leaving", static_cast<std::int64_t>(listing->leaving)}});
     m_balancer.updateListing(*std::move(listing), now);
 }
--- a/src/gateway/targetlisting.h
+++ b/src/gateway/targetlisting.h
@@ -29,6 +29,8 @@
     std::string relay;
     /// Requests that the target processes concurrently; 0 when not known.
     std::uint32_t slots = 0;
+    /// The version of the target's software; empty when it is not known. Versions are only compared for equality.
+    std::string version;
     /// The name that a process keeps across restarts; empty when each run has a name of its own.
     std::string identity;
     /// The name under which the list has the process, and by which senders address it.
--- a/src/tests/gatewayfixture.cpp
+++ b/src/tests/gatewayfixture.cpp
@@ -28,6 +28,7 @@
         RequestMetadata metadata{
             .requestId = std::string(fields["X-Id"]), .callerTimeout = std::chrono::seconds(3), .apiKey = std::string(fields["X-Key"])};
         metadata.resumeAfter = std::string(fields["X-Last"]);
+        metadata.resumes = std::string(fields["X-Resumes"]);
         metadata.promptTokens = fields.count("X-Tokens") > 0 ? 10 : 0;
         if (fields.count("X-Prompt") > 0) {
             metadata.prompt = {{.id = 1, .tokens = 2000}};
@@ -237,6 +238,16 @@
         steadyNow());
 }
 
+void GatewayFixture::setVersion(std::size_t index, const std::string &version)
+{
+    m_gateway.board().updateListing({.incarnation = absl::StrCat("target-", index + 1),
+                                     .service = "service",
+                                     .address = m_targets.at(index)->address(),
+                                     .failureDomain = "here",
+                                     .version = version},
+                                    steadyNow());
+}
+
 void GatewayFixture::addTarget(const std::string &incarnation, const std::string &address)
 {
     m_gateway.board().updateListing({.incarnation = incarnation, .service = "service", .address = address, .failureDomain = "here"},
--- a/src/tests/gatewayfixture.h
+++ b/src/tests/gatewayfixture.h
@@ -87,6 +87,9 @@
     /// Lists the first target again, with this number of requests that it processes concurrently.
     void setFirstTargetSlots(std::uint32_t slots);
 
+    /// Lists a target again, with this version of its software.
+    void setVersion(std::size_t index, const std::string &version);
+
     /// Adds a target of the service whose address is not served by a scripted peer.
     void addTarget(const std::string &incarnation, const std::string &address);
 
