Let streams go on only at the software version that began them

What callers saw: streams with events of two software versions of a service, in one answer when a target broke off and the router continued at another one, and over two requests when a caller took its stream up at another router.

Cause: nobody read the version. readTarget checked the field and dropped it, so no choice of a target could regard it, and nothing outlived the router that began a stream.

Before the first event of a resumable stream the router tells two relays, chosen by rendezvous hashing over the team and the request's id, where it began; a router at which a caller takes it up asks the first four. What is not known goes on only where the list has shown a single version for as long as a stream can have lasted, and is refused with 503 otherwise. Each decision is logged with its inputs and their age (stream.continuation).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,6 +29,7 @@
     , m_metrics(metrics)
     , m_board(m_options.board)
     , m_chooser(m_board, m_metrics, m_options.chooser)
+    , m_streamOrigins(m_board)
     , m_dispatcher(m_executor, m_board, m_chooser, m_metrics, m_options.queue)
     , m_hostLoad(m_options.hostLoad)
     , m_rotation(m_options.rotation)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/queuedispatcher.h"
 #include "gateway/retrybudget.h"
 #include "gateway/routingplan.h"
+#include "gateway/streamorigins.h"
 #include "gateway/targetchooser.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
@@ -128,6 +129,12 @@
         return m_chooser;
     }
 
+    /// Where the streams of callers began.
+    StreamOrigins &streamOrigins()
+    {
+        return m_streamOrigins;
+    }
+
     /// Records the delay of the event loop or the round trip of a datagram, whichever is longer. Call every
     /// `LoadShedder::s_measurementInterval`. Returns whether the other routers of the failure domain are to be told whether this one is out
     /// of rotation.
@@ -202,6 +209,7 @@
     Metrics &m_metrics;
     TargetBalancer m_board;
     TargetChooser m_chooser;
+    StreamOrigins m_streamOrigins;
     QueueDispatcher m_dispatcher;
     LoadShedder m_shedder;
     bool m_shedding = false;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -104,6 +104,7 @@
         }
         if (m_options.mechanisms.sharedLoads) {
             m_gateway.chooser().setLoadClient(m_loads);
+            m_gateway.streamOrigins().setLoadClient(m_loads);
         }
         if (m_options.mechanisms.hostLoad) {
             m_loads.setQueryObserver([this](const LoadClient::QueryOutcome &outcome) {
@@ -260,6 +261,7 @@
                     m_ledger.setRouters(routers);
                     m_rotation.setRouters(routers);
                     m_gateway.chooser().setRouters(routers);
+                    m_gateway.streamOrigins().setRouters(routers);
                 }};
     }
 
@@ -451,6 +453,7 @@
             if (round % s_roundsPerLoadRenewal == 0) {
                 m_gateway.chooser().refreshLoads();
                 m_gateway.chooser().exportSpeeds();
+                m_gateway.streamOrigins().refreshKeepers();
                 m_gateway.guard().expire();
             }
         }
--- a/src/gateway/queuedispatcher.cpp
+++ b/src/gateway/queuedispatcher.cpp
@@ -221,8 +221,8 @@
 
 bool QueueDispatcher::hopeless(const Ticket &ticket, Instant waitUntil) const
 {
-    const std::optional<Instant> resumption = m_balancer.nextResumption(ticket.service, steadyNow());
-    return (resumption && *resumption >= waitUntil) || !m_balancer.hasTargetInService(ticket.service);
+    const std::optional<Instant> resumption = m_balancer.nextResumption(ticket.service, steadyNow(), ticket.version);
+    return (resumption && *resumption >= waitUntil) || !m_balancer.hasTargetInService(ticket.service, ticket.version);
 }
 
 void QueueDispatcher::startAttempt(Service &service, const std::optional<RequestQueue::Attempt> &failed)
--- a/src/gateway/queuedispatcher.h
+++ b/src/gateway/queuedispatcher.h
@@ -34,6 +34,8 @@
     /// A request that seeks a target. Must outlive the call of place().
     struct Ticket {
         std::string service;
+        /// The software version that a target must have; empty: any.
+        std::string version;
         std::string team;
         std::string route;
         Urgency urgency;
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -7,6 +7,7 @@
 #include "routing/stablehash.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <array>
@@ -67,7 +68,13 @@
 
 asio::awaitable<void> RequestHandler::serve()
 {
-    const absl::Status admitted = admit();
+    absl::Status admitted = findRoute();
+    if (admitted.ok()) {
+        admitted = co_await findOrigin();
+    }
+    if (admitted.ok()) {
+        admitted = admit();
+    }
     if (!admitted.ok()) {
         co_await refuse(toFailure(admitted));
         co_return;
@@ -153,7 +160,7 @@
             .retryAfterMs = inMs(drainRetryTime(now - m_gateway.m_drain->startedAt))};
 }
 
-absl::Status RequestHandler::admit()
+absl::Status RequestHandler::findRoute()
 {
     absl::StatusOr<RequestMetadata> metadata = m_gateway.m_options.codec.readRequest(m_exchange.request());
     if (!metadata.ok()) {
@@ -173,6 +180,106 @@
     m_priority = access->priority;
     m_serviceName = m_gateway.chooseService(*m_route);
     m_deadline = m_arrived + std::min(m_metadata.callerTimeout, m_route->timeout);
+    return absl::OkStatus();
+}
+
+asio::awaitable<absl::Status> RequestHandler::findOrigin()
+{
+    if (m_route->repeatability != Repeatability::Stream || m_metadata.resumeAfter.empty()) {
+        co_return absl::OkStatus();
+    }
+    std::vector<std::string> services;
+    for (const ServiceShare &share : m_route->services) {
+        services.push_back(share.service);
+    }
+    const bool named = !m_metadata.resumes.empty();
+    StreamQueryResult keepers;
+    if (named) {
+        keepers = co_await m_gateway.m_streamOrigins.find(streamKey(m_team, m_metadata.resumes), services);
+    }
+    const Duration longest = longestStream(m_route->timeout);
+    const ContinuationFacts facts{.named = named,
+                                  .origins = keepers.origins,
+                                  .keepersSilent = keepers.answeredBefore > 0 && keepers.answered == 0,
+                                  .services = services,
+                                  .seen = m_gateway.m_board.seenVersions(m_serviceName, longest, steadyNow()),
+                                  .longestStream = longest};
+    const Continuation continuation = decideContinuation(facts);
+    logContinuation(continuation, facts, keepers);
+    if (continuation.kind == Continuation::Kind::Nowhere) {
+        const RetryAfterRequest request{.service = m_serviceName,
+                                        .urgency = m_plan->urgency(m_serviceName, m_priority),
+                                        .requestHash = stableHash(m_metadata.requestId),
+                                        .timeLeft = m_deadline - steadyNow()};
+        co_return toStatus({.kind = FailureKind::NoTarget,
+                            .detail = absl::StrCat("the stream cannot go on: ", std::string(continuation.reason)),
+                            .retryAfterMs = inMs(m_gateway.retryAfter(request, steadyNow()))});
+    }
+    m_version = continuation.origin.version;
+    m_originKnown = continuation.kind == Continuation::Kind::AtOrigin;
+    if (m_originKnown) {
+        m_serviceName = continuation.origin.service;
+    }
+    co_return absl::OkStatus();
+}
+
+bool RequestHandler::mayContinueStream()
+{
+    if (!m_streamStarted || !m_versionUnknown) {
+        return true;
+    }
+    const Duration longest = longestStream(m_route->timeout);
+    const ContinuationFacts facts{.seen = m_gateway.m_board.seenVersions(m_serviceName, longest, steadyNow()), .longestStream = longest};
+    const Continuation continuation = decideContinuation(facts);
+    logContinuation(continuation, facts, {});
+    m_version = continuation.origin.version;
+    return continuation.kind != Continuation::Kind::Nowhere;
+}
+
+void RequestHandler::logContinuation(const Continuation &continuation,
+                                     const ContinuationFacts &facts,
+                                     const StreamQueryResult &keepers) const
+{
+    const bool allowed = continuation.kind != Continuation::Kind::Nowhere;
+    const std::string_view outcome = allowed ? "goes_on" : "refused";
+    m_gateway.m_metrics.count("stream_continuations_total", {.name = "outcome", .value = outcome});
+    logLine(Severity::Info,
+            "stream.continuation",
+            {{"request", m_metadata.requestId},
+             {"resumes", m_metadata.resumes},
+             {"last_event", m_metadata.resumeAfter},
+             {"outcome", outcome},
+             {"reason", continuation.reason},
+             {"service", m_serviceName},
+             {"version", continuation.origin.version},
+             {"origins", static_cast<std::int64_t>(facts.origins.size())},
+             {"origin_age_ms", facts.origins.empty() ? -1 : inMs(facts.origins.front().age)},
+             {"keepers_asked", static_cast<std::int64_t>(keepers.asked)},
+             {"keepers_answered", static_cast<std::int64_t>(keepers.answered)},
+             {"versions_seen", absl::StrJoin(facts.seen.versions, ",")},
+             {"list_followed_ms", facts.seen.followedFor ? inMs(*facts.seen.followedFor) : -1}});
+}
+
+void RequestHandler::recordOrigin()
+{
+    const TargetBalancer &targets = m_gateway.m_board;
+    const bool sameProcess = !targets.hasRestarted(m_placement->name, m_placement->incarnation);
+    const bool sameVersion =
+        !targets.isKnown(m_placement->incarnation) || targets.version(m_placement->incarnation) == m_placement->version;
+    if (m_version.empty()) {
+        m_version = sameProcess && sameVersion ? m_placement->version : std::string();
+        m_versionUnknown = m_version.empty();
+    }
+    const bool continued = !m_metadata.resumeAfter.empty();
+    if (!m_route->resumable || m_versionUnknown || (continued && !m_originKnown)) {
+        return;
+    }
+    const std::string &beganAs = continued ? m_metadata.resumes : m_metadata.requestId;
+    m_gateway.m_streamOrigins.record(streamKey(m_team, beganAs), {.service = m_serviceName, .version = m_version});
+}
+
+absl::Status RequestHandler::admit()
+{
     if (!endsBeforeShutdown(m_arrived)) {
         return toStatus(drainFailure("this router ends before the request would", m_arrived));
     }
@@ -226,6 +333,7 @@
             co_return m_possibleExecutions == 0 ? AttemptOutcome::NotRun : AttemptOutcome::CallerDisconnected;
         }
         const PlacementRequest wish{.service = m_serviceName,
+                                    .version = m_version,
                                     .prompt = m_metadata.prompt,
                                     .excluded = m_triedTargets,
                                     .seed = stableHash(m_metadata.requestId) + m_triedTargets.size()};
@@ -267,6 +375,7 @@
 QueueDispatcher::Ticket RequestHandler::queueTicket()
 {
     return {.service = m_serviceName,
+            .version = m_version,
             .team = m_team,
             .route = m_route->name,
             .urgency = m_urgency,
@@ -423,6 +532,10 @@
     if (mayHaveRun && (!m_route->repeatable() || m_possibleExecutions >= m_route->maxAttempts)) {
         return false;
     }
+    if (!mayContinueStream()) {
+        m_lastError.append("; the version that began the stream is not known");
+        return false;
+    }
     const bool trialNotStarted = m_onTrial && !mayHaveRun;
     if (!trialNotStarted && quarantineRemaining()) {
         m_lastError.append("; targets crashed under this request");
@@ -599,6 +712,7 @@
         co_return;
     }
     m_streamStarted = true;
+    recordOrigin();
     std::vector<HttpHeader> headers = endToEndHeaders(call.headers());
     const bool headWritten = co_await m_exchange.beginStream(call.status(), "", std::move(headers));
     m_callerDisconnected = m_callerDisconnected || !headWritten;
--- a/src/gateway/targetbalancer.cpp
+++ b/src/gateway/targetbalancer.cpp
@@ -37,6 +37,8 @@
                                 std::span<const std::string> unusableNames,
                                 std::span<const std::string> unchangedNames)
 {
+    // Between two reads of the whole list, targets may have come and gone unseen.
+    m_followedSince = now;
     std::set<std::string> present(unusableNames.begin(), unusableNames.end());
     present.insert(unchangedNames.begin(), unchangedNames.end());
     for (TargetListing &listing : listings) {
@@ -63,9 +65,10 @@
     return incarnation == m_currentIncarnation.end() ? m_targets.end() : m_targets.find(incarnation->second);
 }
 
-void TargetBalancer::eraseTarget(std::map<std::string, TargetState>::iterator target)
+void TargetBalancer::eraseTarget(std::map<std::string, TargetState>::iterator target, Instant now)
 {
     const TargetListing &listing = target->second.listing;
+    recordVersion(listing, now);
     if (m_retainedDirectives.size() >= s_maxRetainedDirectives) {
         m_retainedDirectives.clear();
     }
@@ -90,7 +93,7 @@
 {
     const auto before = findByName(listing.name());
     if (before != m_targets.end() && before->second.listing.incarnation != listing.incarnation) {
-        eraseTarget(before);
+        eraseTarget(before, now);
     }
     m_currentIncarnation[listing.name()] = listing.incarnation;
     m_poolsValid = false;
@@ -103,6 +106,7 @@
     listing.leaving = listing.leaving || target.listing.leaving;
     // A capacity of 0 states nothing, so the last one stays.
     listing.slots = listing.slots > 0 ? listing.slots : target.listing.slots;
+    checkVersion(target, listing, now);
     target.listing = std::move(listing);
     target.evacuated = m_evacuated.contains(target.listing.failureDomain);
     target.coldUntil = now + target.listing.warmup;
@@ -147,13 +151,17 @@
     }
     // Unlike an incarnation that was replaced by another, this one may be listed again.
     target->second.directives.leaving = target->second.leaving();
-    eraseTarget(target);
+    eraseTarget(target, now);
 }
 
 void TargetBalancer::setStoreReachable(bool reachable, Instant now)
 {
     if (reachable && !m_storeReachable) {
         m_storeReachableSince = now;
+        m_followedSince = now;
+    }
+    if (!reachable) {
+        m_followedSince.reset();
     }
     m_storeReachable = reachable;
 }
@@ -183,7 +191,14 @@
     return found == m_targets.end() ? std::nullopt : found->second.outOfServiceReason();
 }
 
-const TargetBalancer::Pool &TargetBalancer::pool(std::string_view service) const
+void TargetBalancer::addToPool(Pool &pool, const PoolEntry &entry, bool local)
+{
+    pool.entries.push_back(entry);
+    pool.localCount += local ? 1 : 0;
+    pool.statesSlots = pool.statesSlots || entry.target->listing.slots > 0;
+}
+
+const TargetBalancer::Pool &TargetBalancer::pool(std::string_view service, std::string_view version) const
 {
     static const Pool s_emptyPool;
     if (!m_poolsValid) {
@@ -191,17 +206,26 @@
         for (const bool own : {true, false}) {
             for (const auto &[incarnation, target] : m_targets) {
                 if ((target.listing.failureDomain == m_options.failureDomain) == own) {
-                    Pool &pool = m_pools[target.listing.service];
-                    pool.entries.push_back({.hash = stableHash(incarnation), .target = &target});
-                    pool.localCount += own ? 1 : 0;
-                    pool.statesSlots = pool.statesSlots || target.listing.slots > 0;
+                    const PoolEntry entry{.hash = stableHash(incarnation), .target = &target};
+                    ServicePools &pools = m_pools[target.listing.service];
+                    addToPool(pools.all, entry, own);
+                    if (!target.version().empty()) {
+                        addToPool(pools.byVersion[std::string(target.version())], entry, own);
+                    }
                 }
             }
         }
         m_poolsValid = true;
     }
     const auto found = m_pools.find(service);
-    return found == m_pools.end() ? s_emptyPool : found->second;
+    if (found == m_pools.end()) {
+        return s_emptyPool;
+    }
+    if (version.empty()) {
+        return found->second.all;
+    }
+    const auto ofVersion = found->second.byVersion.find(version);
+    return ofVersion == found->second.byVersion.end() ? s_emptyPool : ofVersion->second;
 }
 
 std::vector<const TargetState *> TargetBalancer::preferredTargets(const Pool &pool, std::span<const PromptPart> prompt) const
@@ -255,7 +279,7 @@
 
 std::vector<TargetBalancer::RankedTarget> TargetBalancer::rankTargets(const PlacementRequest &request, bool backedOff, Instant now) const
 {
-    const Pool &servicePool = pool(request.service);
+    const Pool &servicePool = pool(request.service, request.version);
     const std::vector<const TargetState *> preferred = preferredTargets(servicePool, request.prompt);
     std::vector<RankedTarget> scored;
     for (const TargetState *target : sampleTargets(servicePool, request, preferred)) {
@@ -264,7 +288,8 @@
         const bool shortlisted = request.shortlist.empty() || std::ranges::find(request.shortlist, incarnation) != request.shortlist.end();
         const bool needsAdmission = request.skipAdmissionControlled && (target->directives.rateLimit || target->mayBeCold(now));
         const bool suspended = now < target->directives.suspendedUntil;
-        if (!target->inService() || suspended || tried || !shortlisted || needsAdmission || target->inBackoff(now) != backedOff) {
+        if (!hasVersion(*target, request.version) || !target->inService() || suspended || tried || !shortlisted || needsAdmission
+            || target->inBackoff(now) != backedOff) {
             continue;
         }
         const bool mostPreferred = !preferred.empty() && target == preferred.front();
@@ -349,7 +374,7 @@
     return Placement{.incarnation = listing.incarnation,
                      .name = listing.name(),
                      .address = listing.address,
-                     .version = listing.version,
+                     .version = std::string(target.version()),
                      .uncachedTokens = best.front().uncachedTokens,
                      .unreadAhead = target.totalLoad(m_options, now).unread,
                      .cold = target.mayBeCold(now),
@@ -466,11 +491,11 @@
     }
 }
 
-std::optional<Instant> TargetBalancer::nextResumption(std::string_view service, Instant now) const
+std::optional<Instant> TargetBalancer::nextResumption(std::string_view service, Instant now, std::string_view version) const
 {
     std::optional<Instant> first;
-    for (const PoolEntry &entry : pool(service).entries) {
-        if (!entry.target->inService()) {
+    for (const PoolEntry &entry : pool(service, version).entries) {
+        if (!entry.target->inService() || !hasVersion(*entry.target, version)) {
             continue;
         }
         if (entry.target->directives.suspendedUntil <= now) {
@@ -481,10 +506,10 @@
     return first;
 }
 
-bool TargetBalancer::hasTargetInService(std::string_view service) const
+bool TargetBalancer::hasTargetInService(std::string_view service, std::string_view version) const
 {
-    return std::ranges::any_of(pool(service).entries, [](const PoolEntry &entry) {
-        return entry.target->inService();
+    return std::ranges::any_of(pool(service, version).entries, [&](const PoolEntry &entry) {
+        return entry.target->inService() && hasVersion(*entry.target, version);
     });
 }
 
--- a/src/gateway/targetbalancer.h
+++ b/src/gateway/targetbalancer.h
@@ -20,6 +20,8 @@
 /// What a request requires of a target.
 struct PlacementRequest {
     std::string_view service;
+    /// Only targets of this software version are considered; empty: of any.
+    std::string_view version;
     /// The parts of the prompt in order; only the last one is never shared with other requests.
     std::span<const PromptPart> prompt;
     /// Incarnations that were tried already.
@@ -190,12 +192,34 @@
     void suspendUntil(const std::string &incarnation, Instant until);
 
     /// When the first suspended target of the service accepts requests again; none where a target is not suspended, or none is in service.
-    std::optional<Instant> nextResumption(std::string_view service, Instant now) const;
+    /// With a version, only its targets count.
+    std::optional<Instant> nextResumption(std::string_view service, Instant now, std::string_view version = {}) const;
 
-    /// Whether any target of the service is in service, and whether any of them states how many requests it processes concurrently.
-    bool hasTargetInService(std::string_view service) const;
+    /// Whether any target of the service, or of that version of it, is in service, and whether any states how many requests it processes
+    /// concurrently.
+    bool hasTargetInService(std::string_view service, std::string_view version = {}) const;
     bool statesSlots(std::string_view service) const;
 
+    /// The software versions that a service had targets of.
+    struct SeenVersions {
+        /// Those within the period, sorted; an empty one stands for targets whose version is not known.
+        std::vector<std::string> versions;
+        /// How long the list has been followed without a gap; none while it is not followed.
+        std::optional<Duration> followedFor;
+    };
+    /// The versions of the service that the list has had within the period until now.
+    SeenVersions seenVersions(std::string_view service, Duration period, Instant now) const;
+
+    /// The version of the target's software; empty when it is not known.
+    std::string_view version(const std::string &incarnation) const
+    {
+        const auto found = m_targets.find(incarnation);
+        return found == m_targets.end() ? std::string_view() : found->second.version();
+    }
+
+    /// The addresses of the relays beside the targets of the service, sorted.
+    std::vector<std::string> relays(std::string_view service) const;
+
     /// The target has announced its shutdown, or another process answers at its address. Final for this incarnation, whatever the list
     /// shows.
     void markLeaving(const std::string &incarnation);
@@ -255,10 +279,18 @@
     /// The current incarnation under the name, or the end of `m_targets`.
     std::map<std::string, TargetState>::iterator findByName(const std::string &name);
     /// Erases the target and keeps its directives.
-    void eraseTarget(std::map<std::string, TargetState>::iterator target);
+    void eraseTarget(std::map<std::string, TargetState>::iterator target, Instant now);
+    /// The list had a target of this version until now.
+    void recordVersion(const TargetListing &listing, Instant now);
+    /// Compares the version that a record states with the one that earlier records of the incarnation stated.
+    void checkVersion(TargetState &target, TargetListing &listing, Instant now);
+    /// Whether a stream of the version may go on at the target.
+    bool hasVersion(const TargetState &target, std::string_view version) const;
     /// Erases the target, whose entry is gone from the list, unless the list may be incomplete; then it is only marked as missing.
     void removeTarget(std::map<std::string, TargetState>::iterator target, bool maybeIncomplete, Instant now);
-    const Pool &pool(std::string_view service) const;
+    const Pool &pool(std::string_view service, std::string_view version = {}) const;
+    /// Adds the target to the pool.
+    static void addToPool(Pool &pool, const PoolEntry &entry, bool local);
     /// The preferred targets and a random sample of the others.
     std::vector<const TargetState *>
     sampleTargets(const Pool &pool, const PlacementRequest &request, std::span<const TargetState *const> preferredTargets) const;
@@ -287,12 +319,21 @@
     absl::flat_hash_map<std::string, TargetDirectives> m_retainedDirectives;
     /// The newest incarnation under each name.
     absl::flat_hash_map<std::string, std::string> m_currentIncarnation;
+    /// The targets of a service, and of one version of it.
+    struct ServicePools {
+        Pool all;
+        std::map<std::string, Pool, std::less<>> byVersion;
+    };
     /// By service; rebuilt when the list has changed.
-    mutable std::map<std::string, Pool, std::less<>> m_pools;
+    mutable std::map<std::string, ServicePools, std::less<>> m_pools;
     mutable bool m_poolsValid = false;
     /// By service.
     std::map<std::string, ServiceSpeed, std::less<>> m_serviceSpeeds;
     std::set<std::string> m_evacuated;
+    /// By service: the versions of targets that the list has no longer, and when it last had one.
+    std::map<std::string, std::map<std::string, Instant>, std::less<>> m_formerVersions;
+    /// Since when every change of the list has been seen.
+    std::optional<Instant> m_followedSince;
     bool m_storeReachable = true;
     std::optional<Instant> m_storeReachableSince;
     std::optional<Instant> m_storeReturnedAt;
--- a/src/gateway/targetfollower.cpp
+++ b/src/gateway/targetfollower.cpp
@@ -129,6 +129,12 @@
         return std::nullopt;
     }
     recordUsable(row.address.key);
+    const std::string_view knownVersion = m_balancer.version(listing->incarnation);
+    if (!knownVersion.empty() && !listing->version.empty() && listing->version != knownVersion) {
+        logLine(Severity::Warning,
+                "target.version_changed",
+                {{"target", listing->incarnation}, {"service", listing->service}, {"before", knownVersion}, {"now", listing->version}});
+    }
     m_relaySelector.addTargetRelay(row.address.key, listing->relay, listing->failureDomain);
     return *std::move(listing);
 }
--- a/src/gateway/targetstate.h
+++ b/src/gateway/targetstate.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace bamboohold {
 
@@ -106,6 +107,8 @@
     std::optional<Instant> backoffUntil;
     /// The value of `presumedColdUntil` before the latest back-off.
     Instant presumedColdBeforeBackoff{};
+    /// The records of this incarnation state two versions, so neither is relied on.
+    bool versionContradictory = false;
     /// Set while the entry is missing from a list that may be incomplete.
     std::optional<Instant> missingSince;
     /// When this router last sent each prompt part to the target, by the part's id.
@@ -125,6 +128,12 @@
         return listing.leaving || directives.leaving;
     }
 
+    /// The version of the target's software; empty when it is not known.
+    std::string_view version() const
+    {
+        return versionContradictory ? std::string_view() : std::string_view(listing.version);
+    }
+
     /// Why the target accepts no new requests; none when it accepts them.
     std::optional<OutOfServiceReason> outOfServiceReason() const;
 
--- a/src/routing/loadclient.cpp
+++ b/src/routing/loadclient.cpp
@@ -33,6 +33,10 @@
 constexpr std::size_t s_maxKnownRelays = 4096;
 /// Keeps the backoff from overflowing; `Options::maxBackoff` is reached before.
 constexpr std::uint32_t s_maxDoublings = 8;
+/// A query about a stream that times out may cost its caller the stream, so it waits longer than one about a load.
+constexpr Duration s_streamQueryTimeout = std::chrono::milliseconds(40);
+/// Upper bound for the encoded sequence number.
+constexpr std::size_t s_sequenceBytes = 12;
 
 }
 
@@ -94,7 +98,6 @@
     wire::LoadNote note;
     note.set_router(m_router);
     note.set_target(stableHash(notice.incarnation));
-    note.set_sequence(++m_sequence);
     note.set_outstanding(notice.load.outstanding);
     note.set_unread(notice.load.unread);
     note.set_asks(queryOptions.wantsAnswer);
@@ -107,12 +110,76 @@
         note.set_speed_ratio(notice.speed->ratio);
         note.set_speed_answers(notice.speed->answers);
     }
+    sendNote(relay, note);
+    return m_sequence;
+}
+
+void LoadClient::sendNote(const Relay &relay, wire::LoadNote &note)
+{
+    note.set_sequence(++m_sequence);
     const std::string text = note.SerializeAsString();
     // A message that cannot be sent at once is dropped like a lost datagram: the next one carries the whole state again.
     boost::system::error_code sendError;
     m_socket.send_to(asio::buffer(text), relay.endpoint, 0, sendError);
     m_sendTimes[m_sequence % s_sendTimesKept] = steadyNow();
-    return m_sequence;
+}
+
+void LoadClient::reportStream(const std::string &address, std::uint64_t key, const StreamOrigin &origin)
+{
+    const Relay *known = relay(address);
+    if (known == nullptr) {
+        return;
+    }
+    wire::LoadNote note;
+    wire::StreamNote &stream = *note.mutable_stream();
+    stream.set_key(key);
+    stream.set_service(origin.service);
+    stream.set_version(origin.version);
+    if (note.ByteSizeLong() + s_sequenceBytes > s_maxLoadMessageBytes) {
+        logLine(Severity::Warning, "stream.origin_too_long", {{"service", origin.service}, {"version", origin.version}});
+        return;
+    }
+    sendNote(*known, note);
+}
+
+asio::awaitable<StreamQueryResult> LoadClient::queryStream(std::vector<std::string> addresses, std::uint64_t key)
+{
+    const auto group = std::make_shared<QueryGroup>(m_executor);
+    std::vector<std::uint64_t> sequences;
+    const Instant now = steadyNow();
+    for (const std::string &address : addresses) {
+        Relay *known = relay(address);
+        if (known == nullptr) {
+            continue;
+        }
+        ++group->stream.asked;
+        group->stream.answeredBefore += known->everAnswered ? 1 : 0;
+        if (now < known->backoffUntil) {
+            continue;
+        }
+        wire::LoadNote note;
+        note.set_asks(true);
+        note.mutable_stream()->set_key(key);
+        sendNote(*known, note);
+        m_pendingQueries[m_sequence] = {.relay = address, .group = group, .sentAt = now, .aboutStream = true};
+        ++group->pending;
+        sequences.push_back(m_sequence);
+    }
+    if (!sequences.empty()) {
+        co_await awaitAnswers(group, std::move(sequences), s_streamQueryTimeout);
+    }
+    co_return std::move(group->stream);
+}
+
+void LoadClient::addStreamAnswer(const wire::LoadAnswer &answer, StreamQueryResult &result)
+{
+    ++result.answered;
+    const wire::StreamAnswer &stream = answer.stream();
+    if (stream.known()) {
+        result.origins.push_back({.origin = {.service = stream.service(), .version = stream.version()},
+                                  .contradictory = stream.contradictory(),
+                                  .age = std::chrono::milliseconds(stream.age_ms())});
+    }
 }
 
 std::optional<Duration> LoadClient::takeShortestRoundTrip()
@@ -152,7 +219,7 @@
         sequences.push_back(sendQuery(*known, notice, group, {.wantsAnswer = true}));
     }
     if (!sequences.empty()) {
-        co_await awaitAnswers(group, std::move(sequences));
+        co_await awaitAnswers(group, std::move(sequences), answerTimeout());
     }
 }
 
@@ -165,7 +232,7 @@
     const auto group = std::make_shared<QueryGroup>(m_executor);
     if (steadyNow() >= known->backoffUntil) {
         std::vector<std::uint64_t> sequences{sendQuery(*known, notice, group, {.wantsAnswer = true, .rates = rates})};
-        co_await awaitAnswers(group, std::move(sequences));
+        co_await awaitAnswers(group, std::move(sequences), answerTimeout());
     }
     if (group->admitted) {
         co_return AdmissionAnswer{.admission = *group->admitted ? Admission::Granted : Admission::Denied, .wait = group->wait};
@@ -184,9 +251,9 @@
     return sequence;
 }
 
-asio::awaitable<void> LoadClient::awaitAnswers(std::shared_ptr<QueryGroup> group, std::vector<std::uint64_t> sequences)
+asio::awaitable<void> LoadClient::awaitAnswers(std::shared_ptr<QueryGroup> group, std::vector<std::uint64_t> sequences, Duration timeout)
 {
-    group->done.expires_after(answerTimeout());
+    group->done.expires_after(timeout);
     co_await group->done.async_wait(s_tuple);
     const Instant now = steadyNow();
     for (const std::uint64_t sequence : sequences) {
@@ -209,7 +276,7 @@
         return;
     }
     ++known->consecutiveTimeouts;
-    if (known->everAnswered && m_onTimeout) {
+    if (known->everAnswered && m_onTimeout && !query.aboutStream) {
         m_onTimeout(query.incarnation);
     }
     if (!known->everAnswered || known->consecutiveTimeouts >= m_options.timeoutsBeforeBackoff) {
@@ -258,6 +325,13 @@
         known->everAnswered = true;
         known->consecutiveTimeouts = 0;
     }
+    if (query.aboutStream) {
+        addStreamAnswer(answer, query.group->stream);
+        if (--query.group->pending == 0) {
+            query.group->done.cancel();
+        }
+        return;
+    }
     query.group->admitted = answer.admitted();
     query.group->wait = std::chrono::milliseconds(answer.wait_ms());
     TargetLoadReply reply{.remoteLoad = {.outstanding = answer.outstanding(), .unread = answer.unread()}, .askedAt = query.sentAt};
--- a/src/routing/loadclient.h
+++ b/src/routing/loadclient.h
@@ -3,6 +3,7 @@
 #include "clock/instant.h"
 #include "routing/admission.h"
 #include "routing/loadaggregator.h"
+#include "routing/streamoriginstore.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
@@ -22,6 +23,11 @@
 
 namespace bamboohold {
 
+namespace wire {
+class LoadAnswer;
+class LoadNote;
+}
+
 /// The load of this router at a target, and the relay that it is reported to.
 struct LoadNotice {
     /// The target's incarnation.
@@ -48,8 +54,18 @@
     Instant askedAt{};
 };
 
-/// Reports this router's load to the relays beside targets, and queries the load of all other routers there. Not thread-safe: use it on one
-/// event loop only.
+/// What the processes that were asked about a stream have answered.
+struct StreamQueryResult {
+    /// The answers of those that know the stream.
+    std::vector<KnownOrigin> origins;
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+    /// Those among the asked ones that had answered a query before.
+    std::size_t answeredBefore = 0;
+};
+
+/// Reports this router's load to the relays beside targets, and queries the load of all other routers there. Tells relays where streams
+/// began, and asks them. Not thread-safe: use it on one event loop only.
 ///
 /// Queries delay the caller's request, so each one times out after a few round trips, and a relay with several consecutive timeouts is not
 /// queried again until its backoff has passed. Plain services have no relay beside them.
@@ -120,6 +136,12 @@
     /// Reports a load without waiting for an answer. Does nothing unless the relay has answered a query before.
     void notifyRelay(const LoadNotice &notice);
 
+    /// Tells the process at this address where a stream began. Does not wait for an answer.
+    void reportStream(const std::string &address, std::uint64_t key, const StreamOrigin &origin);
+
+    /// Asks the processes at these addresses where a stream began. Returns when all have answered or the queries have timed out.
+    boost::asio::awaitable<StreamQueryResult> queryStream(std::vector<std::string> addresses, std::uint64_t key);
+
 private:
     /// Queries that one coroutine waits for together.
     struct QueryGroup {
@@ -133,6 +155,8 @@
         /// The admission decision in the last answer.
         std::optional<bool> admitted;
         Duration wait{};
+        /// The answers about a stream, if the queries are about one.
+        StreamQueryResult stream;
     };
 
     struct PendingQuery {
@@ -140,6 +164,7 @@
         std::string relay;
         std::shared_ptr<QueryGroup> group;
         Instant sentAt{};
+        bool aboutStream = false;
     };
 
     /// What is known about the relay at an address.
@@ -163,7 +188,10 @@
     /// Sends a note that expects an answer, and adds it to the group.
     std::uint64_t sendQuery(Relay &relay, const LoadNotice &notice, const std::shared_ptr<QueryGroup> &group, QueryOptions queryOptions);
     /// Waits for the group's answers up to the timeout, then closes the queries that are still open.
-    boost::asio::awaitable<void> awaitAnswers(std::shared_ptr<QueryGroup> group, std::vector<std::uint64_t> sequences);
+    boost::asio::awaitable<void> awaitAnswers(std::shared_ptr<QueryGroup> group, std::vector<std::uint64_t> sequences, Duration timeout);
+    /// Sends a message with the next sequence number.
+    void sendNote(const Relay &relay, wire::LoadNote &note);
+    static void addStreamAnswer(const wire::LoadAnswer &answer, StreamQueryResult &result);
     boost::asio::awaitable<void> receive();
     void handleAnswer(const boost::asio::ip::udp::endpoint &from, std::span<const char> message);
     void handleTimeout(const PendingQuery &query, Instant now);
--- a/src/routing/loadserver.cpp
+++ b/src/routing/loadserver.cpp
@@ -97,6 +97,27 @@
     }
 }
 
+void LoadServer::handleStreamNote(const wire::LoadNote &note, wire::LoadAnswer &answer)
+{
+    const Instant now = steadyNow();
+    const wire::StreamNote &stream = note.stream();
+    answer.Clear();
+    answer.set_sequence(note.sequence());
+    if (!note.asks()) {
+        m_streams.record(stream.key(), {.service = stream.service(), .version = stream.version()}, now);
+        return;
+    }
+    wire::StreamAnswer &reply = *answer.mutable_stream();
+    const std::optional<KnownOrigin> known = m_streams.find(stream.key(), now);
+    reply.set_known(known.has_value());
+    if (known) {
+        reply.set_service(known->origin.service);
+        reply.set_version(known->origin.version);
+        reply.set_contradictory(known->contradictory);
+        reply.set_age_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(known->age).count()));
+    }
+}
+
 asio::awaitable<void> LoadServer::serve()
 {
     std::array<char, s_maxLoadMessageBytes> message{};
@@ -112,7 +133,11 @@
         if (!note.ParseFromArray(message.data(), static_cast<int>(size))) {
             continue;
         }
-        handleNote(note, answer);
+        if (note.has_stream()) {
+            handleStreamNote(note, answer);
+        } else {
+            handleNote(note, answer);
+        }
         if (!note.asks()) {
             continue;
         }
--- a/src/routing/loadserver.h
+++ b/src/routing/loadserver.h
@@ -3,6 +3,7 @@
 #include "routing/coldadmissions.h"
 #include "routing/limitadmissions.h"
 #include "routing/loadaggregator.h"
+#include "routing/streamoriginstore.h"
 
 #include <absl/status/status.h>
 #include <boost/asio/any_io_executor.hpp>
@@ -19,7 +20,8 @@
 }
 
 /// Answers queries of routers about the load of the target on this host, and whether they may send it a request while it is cold or limits
-/// its rate. Runs in the relay beside a target. Routers also run it, to answer each other's queries about targets without a relay.
+/// its rate. Also keeps where streams began, for routers that continue them. Runs in the relay beside a target. Routers also run it, to
+/// answer each other's queries about targets without a relay.
 ///
 /// Uses UDP: a late answer is useless, and the 180 connections that each router would need take more memory than everything else that it
 /// keeps about targets.
@@ -42,12 +44,15 @@
     boost::asio::awaitable<void> serve();
     /// Applies a router's note, and fills in the answer.
     void handleNote(const wire::LoadNote &note, wire::LoadAnswer &answer);
+    /// Keeps where a stream began, or fills in what is known about it.
+    void handleStreamNote(const wire::LoadNote &note, wire::LoadAnswer &answer);
 
     boost::asio::ip::udp::endpoint m_listen;
     boost::asio::ip::udp::socket m_socket;
     LoadAggregator m_loads;
     ColdAdmissions m_cold;
     LimitAdmissions m_limits;
+    StreamOriginStore m_streams;
 };
 
 }
--- a/src/tests/gatewayfixture.cpp
+++ b/src/tests/gatewayfixture.cpp
@@ -238,12 +238,13 @@
         steadyNow());
 }
 
-void GatewayFixture::setVersion(std::size_t index, const std::string &version)
+void GatewayFixture::setVersion(std::size_t index, const std::string &version, const std::string &relay)
 {
     m_gateway.board().updateListing({.incarnation = absl::StrCat("target-", index + 1),
                                      .service = "service",
                                      .address = m_targets.at(index)->address(),
                                      .failureDomain = "here",
+                                     .relay = relay,
                                      .version = version},
                                     steadyNow());
 }
--- a/src/tests/gatewayfixture.h
+++ b/src/tests/gatewayfixture.h
@@ -87,8 +87,8 @@
     /// Lists the first target again, with this number of requests that it processes concurrently.
     void setFirstTargetSlots(std::uint32_t slots);
 
-    /// Lists a target again, with this version of its software.
-    void setVersion(std::size_t index, const std::string &version);
+    /// Lists a target again, with this version of its software and the address of the relay beside it.
+    void setVersion(std::size_t index, const std::string &version, const std::string &relay = "");
 
     /// Adds a target of the service whose address is not served by a scripted peer.
     void addTarget(const std::string &incarnation, const std::string &address);
