Keep the versions that services had in the store

Cause: that there was one version only was known to routers that had followed the list themselves for 30 s, and each read of the whole list began that time anew.

Change: the versions of each service, and when the last target of each had gone, stand in a table of the store. A router reads it after each gap in what it has seen, and writes a change at a time of its own within 1.5 s.

--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -9,14 +9,18 @@
 #include "gateway/shutdownsequence.h"
 #include "gateway/targetfollower.h"
 #include "membership/routerregistry.h"
+#include "membership/versionregistry.h"
 #include "quarantine/quarantinekeeper.h"
 #include "routing/loadserver.h"
+#include "routing/stablehash.h"
 #include "store/tablewatcher.h"
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -91,6 +95,7 @@
         , m_help(m_link, m_store, m_ledger, m_gateway, m_evacuations, planDocumentHandler())
         , m_rotation(m_link, m_gateway.rotation(), m_options.gateway.board.failureDomain)
         , m_quarantine(m_store, m_gateway.guard())
+        , m_versions(m_store, versionOptions())
         , m_targetFollower(
               m_gateway.board(), m_relaySelector, m_metrics, {.decodeListing = m_options.decodeTarget, .host = m_options.callers.address})
         , m_plans(m_store, planWatcherOptions())
@@ -144,6 +149,7 @@
             asio::co_spawn(m_executor, m_help.fetchInitialPlan(), asio::detached);
         }
         asio::co_spawn(m_executor, m_targets.run(), asio::detached);
+        asio::co_spawn(m_executor, m_versions.run(), asio::detached);
         if (m_options.mechanisms.quarantine) {
             asio::co_spawn(m_executor, m_quarantine.run(), asio::detached);
             if (!m_options.firstStart) {
@@ -188,6 +194,8 @@
     /// announced again.
     static constexpr Duration s_maintenanceInterval = std::chrono::milliseconds(250);
     static constexpr unsigned s_roundsPerLoadRenewal = 4;
+    /// Routers write changes of versions this much later at most, each at a time of its own, so that most find them written.
+    static constexpr Duration s_maxVersionDelay = std::chrono::milliseconds(1500);
     static constexpr Duration s_shutdownPollInterval = std::chrono::milliseconds(10);
 
     /// Logs the measures of the host's load that have no effect, since the settings do not state a limit.
@@ -442,6 +450,29 @@
                     }};
     }
 
+    typename VersionRegistry<Relayed>::Options versionOptions()
+    {
+        return {.view =
+                    [this] {
+                        const TargetBalancer &board = m_gateway.board();
+                        return typename VersionRegistry<Relayed>::View{.followedSince = board.followedSince(),
+                                                                       .versions = board.listedVersions()};
+                    },
+                .onRow =
+                    [this](const std::string &service, const VersionRow &row, StoreTimeMs storeTime) {
+                        const Instant now = steadyNow();
+                        const auto instant = [now, storeTime](StoreTimeMs at) {
+                            return now - std::chrono::milliseconds(std::max<StoreTimeMs>(storeTime - at, 0));
+                        };
+                        std::map<std::string, Instant> former;
+                        for (const auto &[version, goneAt] : row.versions) {
+                            former.emplace(version, instant(goneAt.value_or(storeTime)));
+                        }
+                        m_gateway.board().addFormerVersions(service, former, instant(row.since));
+                    },
+                .delay = Duration(static_cast<Duration::rep>(stableHash(m_options.incarnation) % s_maxVersionDelay.count()))};
+    }
+
     asio::awaitable<void> runMaintenance()
     {
         for (unsigned round = 0;; ++round) {
@@ -542,6 +573,7 @@
     PeerExchange<Store> m_help;
     RotationExchange m_rotation;
     QuarantineKeeper<Relayed> m_quarantine;
+    VersionRegistry<Relayed> m_versions;
     TargetFollower m_targetFollower;
     TableWatcher<Relayed> m_plans;
     TableWatcher<Relayed> m_targets;
--- a/src/gateway/targetbalancer.cpp
+++ b/src/gateway/targetbalancer.cpp
@@ -39,6 +39,7 @@
 {
     // Between two reads of the whole list, targets may have come and gone unseen.
     m_followedSince = now;
+    m_versionsKnownSince.clear();
     std::set<std::string> present(unusableNames.begin(), unusableNames.end());
     present.insert(unchangedNames.begin(), unchangedNames.end());
     for (TargetListing &listing : listings) {
@@ -162,6 +163,7 @@
     }
     if (!reachable) {
         m_followedSince.reset();
+        m_versionsKnownSince.clear();
     }
     m_storeReachable = reachable;
 }
--- a/src/gateway/targetbalancer.h
+++ b/src/gateway/targetbalancer.h
@@ -204,12 +204,22 @@
     struct SeenVersions {
         /// Those within the period, sorted; an empty one stands for targets whose version is not known.
         std::vector<std::string> versions;
-        /// How long the list has been followed without a gap; none while it is not followed.
+        /// For how long every version is known; none while the list is not followed.
         std::optional<Duration> followedFor;
     };
     /// The versions of the service that the list has had within the period until now.
     SeenVersions seenVersions(std::string_view service, Duration period, Instant now) const;
 
+    /// The versions of each service that the list has now, and since when every change of it was seen.
+    std::map<std::string, std::set<std::string>> listedVersions() const;
+    std::optional<Instant> followedSince() const
+    {
+        return m_followedSince;
+    }
+
+    /// Others have seen every version of the service since `since`. Each is given with the time at which it was last there.
+    void addFormerVersions(const std::string &service, const std::map<std::string, Instant> &versions, Instant since);
+
     /// The version of the target's software; empty when it is not known.
     std::string_view version(const std::string &incarnation) const
     {
@@ -334,6 +344,8 @@
     std::map<std::string, std::map<std::string, Instant>, std::less<>> m_formerVersions;
     /// Since when every change of the list has been seen.
     std::optional<Instant> m_followedSince;
+    /// By service: since when every version is known from others, who have seen what this router has missed.
+    std::map<std::string, Instant, std::less<>> m_versionsKnownSince;
     bool m_storeReachable = true;
     std::optional<Instant> m_storeReachableSince;
     std::optional<Instant> m_storeReturnedAt;
--- a/src/gateway/targetbalancerversions.cpp
+++ b/src/gateway/targetbalancerversions.cpp
@@ -61,11 +61,31 @@
     }
     SeenVersions seen{.versions = {versions.begin(), versions.end()}};
     if (m_followedSince) {
-        seen.followedFor = now - *m_followedSince;
+        const auto known = m_versionsKnownSince.find(service);
+        seen.followedFor = now - (known == m_versionsKnownSince.end() ? *m_followedSince : std::min(known->second, *m_followedSince));
     }
     return seen;
 }
 
+std::map<std::string, std::set<std::string>> TargetBalancer::listedVersions() const
+{
+    std::map<std::string, std::set<std::string>> versions;
+    for (const auto &[incarnation, target] : m_targets) {
+        versions[target.listing.service].insert(std::string(target.version()));
+    }
+    return versions;
+}
+
+void TargetBalancer::addFormerVersions(const std::string &service, const std::map<std::string, Instant> &versions, Instant since)
+{
+    std::map<std::string, Instant> &former = m_formerVersions[service];
+    for (const auto &[version, lastSeen] : versions) {
+        const auto [known, added] = former.try_emplace(version, lastSeen);
+        known->second = std::max(known->second, lastSeen);
+    }
+    m_versionsKnownSince[service] = since;
+}
+
 std::vector<std::string> TargetBalancer::relays(std::string_view service) const
 {
     std::set<std::string> addresses;
--- a/src/tests/streamfleet.cpp
+++ b/src/tests/streamfleet.cpp
@@ -91,6 +91,24 @@
     router.board->replaceAll(std::move(listings), m_now);
 }
 
+void StreamFleet::synchroniseVersions(Router &router)
+{
+    const auto storeTime = [this](Instant at) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+    };
+    const std::optional<Instant> followedSince = router.board->followedSince();
+    if (!router.followsStore || !followedSince || router.board->listedVersions().empty()) {
+        return;
+    }
+    const std::set<std::string> present = router.board->listedVersions().at(s_service);
+    m_row = updatedVersionRow(m_row, present, storeTime(m_now) - storeTime(*followedSince), storeTime(m_now));
+    std::map<std::string, Instant> former;
+    for (const auto &[version, goneAt] : m_row->versions) {
+        former.emplace(version, goneAt ? Instant(std::chrono::milliseconds(*goneAt)) : m_now);
+    }
+    router.board->addFormerVersions(s_service, former, Instant(std::chrono::milliseconds(m_row->since)));
+}
+
 void StreamFleet::start(Router &router)
 {
     router.board = std::make_unique<TargetBalancer>(TargetOptions{});
@@ -298,6 +316,9 @@
         chosen(m_targets)->second.relay = {};
         break;
     }
+    for (Router &router : m_routers) {
+        synchroniseVersions(router);
+    }
 }
 
 }
--- a/src/tests/streamfleet.h
+++ b/src/tests/streamfleet.h
@@ -2,6 +2,7 @@
 
 #include "gateway/streamcontinuation.h"
 #include "gateway/targetbalancer.h"
+#include "membership/versionrow.h"
 #include "routing/streamorigin.h"
 #include "routing/streamoriginstore.h"
 
@@ -101,6 +102,8 @@
     void serve(const Stream &stream, const Router &router, const std::string &version);
     void restart(Router &router);
     void readList(Router &router);
+    /// Brings the versions in the store up to date, and tells the router.
+    void synchroniseVersions(Router &router);
     std::vector<std::string> keepers(const Router &router, std::uint64_t key, std::size_t most) const;
 
     Options m_options;
@@ -109,6 +112,8 @@
     std::map<std::string, Target> m_targets;
     std::vector<Router> m_routers;
     std::vector<Stream> m_streams;
+    /// The versions in the store.
+    std::optional<VersionRow> m_row;
     std::uint64_t m_next = 0;
     std::size_t m_mixed = 0;
     std::size_t m_takenUp = 0;
--- a/src/tests/targetversionstest.cpp
+++ b/src/tests/targetversionstest.cpp
@@ -132,6 +132,24 @@
     BOOST_TEST((board.seenVersions(s_service, period, at(71)).versions == Versions{"", "v1"}));
 }
 
+// Guards against a router that has just started and refuses streams for as long as it would have had to follow the list itself.
+BOOST_AUTO_TEST_CASE(othersKnowWhatARouterHasMissed)
+{
+    using Versions = std::vector<std::string>;
+    const Duration period = std::chrono::seconds(30);
+    TargetBalancer board({});
+    board.replaceAll({listing("i-1", "v1")}, s_start);
+    board.addFormerVersions(s_service, {{"v1", s_start}, {"v0", at(-20)}}, at(-500));
+    BOOST_TEST((board.seenVersions(s_service, period, at(5)).versions == Versions{"v0", "v1"}));
+    BOOST_TEST((board.seenVersions(s_service, period, at(5)).followedFor == std::optional<Duration>(std::chrono::seconds(505))));
+    BOOST_TEST((board.seenVersions(s_service, period, at(11)).versions == Versions{"v1"}));
+    board.replaceAll({listing("i-1", "v1")}, at(20));
+    BOOST_TEST((board.seenVersions(s_service, period, at(21)).followedFor == std::optional<Duration>(std::chrono::seconds(1))));
+    board.addFormerVersions(s_service, {}, at(-500));
+    board.setStoreReachable(false, at(22));
+    BOOST_TEST(!board.seenVersions(s_service, period, at(23)).followedFor);
+}
+
 BOOST_AUTO_TEST_CASE(relaysOfAServiceAreListedOnce)
 {
     TargetBalancer board({});
