Read the versions of services as soon as the list was read

Change: reading the whole list wakes VersionRegistry, and a request that would be refused within 100 ms of that waits once for these 100 ms. Looks at an unchanged list are a second apart.

--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -95,7 +95,7 @@
         , m_help(m_link, m_store, m_ledger, m_gateway, m_evacuations, planDocumentHandler())
         , m_rotation(m_link, m_gateway.rotation(), m_options.gateway.board.failureDomain)
         , m_quarantine(m_store, m_gateway.guard())
-        , m_versions(m_store, versionOptions())
+        , m_versions(m_executor, m_store, versionOptions())
         , m_targetFollower(
               m_gateway.board(), m_relaySelector, m_metrics, {.decodeListing = m_options.decodeTarget, .host = m_options.callers.address})
         , m_plans(m_store, planWatcherOptions())
@@ -434,6 +434,7 @@
                     [this](const std::vector<StoredRow> &rows) {
                         m_targetsKnown = true;
                         m_targetFollower.applyTable(rows, steadyNow());
+                        m_versions.notifyListRead();
                         m_gateway.notifyTargetsKnown();
                     },
                 .onChange =
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -3,6 +3,7 @@
 #include "clock/steadytime.h"
 #include "gateway/requestcost.h"
 #include "gateway/requesttimes.h"
+#include "net/pause.h"
 #include "operations/log.h"
 #include "routing/stablehash.h"
 
@@ -30,6 +31,8 @@
 /// A response up to this size is buffered until it is complete, so that an incomplete one can be replaced. Buffering longer ones would
 /// delay their callers.
 constexpr std::size_t s_maxBufferedBytes = 256 * 1024;
+/// A router that has just read the list of targets reads within this time which versions there were before.
+constexpr Duration s_versionsReadTime = std::chrono::milliseconds(100);
 /// Sent to callers while this router has no routing plan yet.
 constexpr std::int64_t s_retryAfterStartupMs = 700;
 /// One in this many requests that were answered within their objective is logged, and all others.
@@ -198,13 +201,18 @@
         keepers = co_await m_gateway.m_streamOrigins.find(streamKey(m_team, m_metadata.resumes), services);
     }
     const Duration longest = longestStream(m_route->timeout);
-    const ContinuationFacts facts{.named = named,
-                                  .origins = keepers.origins,
-                                  .keepersSilent = keepers.answeredBefore > 0 && keepers.answered == 0,
-                                  .services = services,
-                                  .seen = m_gateway.m_board.seenVersions(m_serviceName, longest, steadyNow()),
-                                  .longestStream = longest};
-    const Continuation continuation = decideContinuation(facts);
+    ContinuationFacts facts{.named = named,
+                            .origins = keepers.origins,
+                            .keepersSilent = keepers.answeredBefore > 0 && keepers.answered == 0,
+                            .services = services,
+                            .seen = m_gateway.m_board.seenVersions(m_serviceName, longest, steadyNow()),
+                            .longestStream = longest};
+    Continuation continuation = decideContinuation(facts);
+    if (continuation.kind == Continuation::Kind::Nowhere && facts.seen.followedFor.value_or(longest) < s_versionsReadTime) {
+        co_await pause(s_versionsReadTime);
+        facts.seen = m_gateway.m_board.seenVersions(m_serviceName, longest, steadyNow());
+        continuation = decideContinuation(facts);
+    }
     logContinuation(continuation, facts, keepers);
     if (continuation.kind == Continuation::Kind::Nowhere) {
         const RetryAfterRequest request{.service = m_serviceName,
--- a/src/membership/versionregistry.h
+++ b/src/membership/versionregistry.h
@@ -3,6 +3,7 @@
 #include "clock/steadytime.h"
 #include "membership/versionrow.h"
 #include "net/pause.h"
+#include "net/signal.h"
 #include "operations/log.h"
 #include "store/rowstore.h"
 
@@ -38,22 +39,29 @@
         /// Called with the row of a service, and the store's time, after it was read or written.
         std::function<void(const std::string &service, const VersionRow &row, StoreTimeMs storeTime)> onRow;
         /// Time between two looks at the list.
-        Duration interval = std::chrono::milliseconds(250);
+        Duration interval = std::chrono::seconds(1);
         /// How much later than others this router writes a change that all of them have seen.
         Duration delay{};
     };
 
-    VersionRegistry(Store &store, Options options)
+    VersionRegistry(boost::asio::any_io_executor executor, Store &store, Options options)
         : m_store(store)
         , m_options(std::move(options))
+        , m_listRead(std::move(executor))
     {
     }
 
+    /// The whole list has been read, so changes of it may have been missed.
+    void notifyListRead()
+    {
+        m_listRead.notify();
+    }
+
     /// Runs until the process ends.
     boost::asio::awaitable<void> run()
     {
         while (true) {
-            co_await pause(m_options.interval);
+            co_await m_listRead.wait(m_options.interval);
             const View view = m_options.view();
             if (!view.followedSince) {
                 continue;
@@ -128,6 +136,7 @@
 
     Store &m_store;
     Options m_options;
+    Signal m_listRead;
     /// What the rows held when they were last read and written.
     std::optional<Instant> m_syncedSince;
     std::map<std::string, std::set<std::string>> m_synced;
--- a/src/tests/versionregistrytest.cpp
+++ b/src/tests/versionregistrytest.cpp
@@ -16,7 +16,8 @@
 /// A router's view of the list, and what it learns from the store.
 struct Router {
     explicit Router(SharedRows &rows)
-        : registry(rows,
+        : registry(loop.get_executor(),
+                   rows,
                    {.view =
                         [this] {
                             return view;
@@ -31,11 +32,11 @@
     bool synchronise()
     {
         bool done = false;
-        boost::asio::io_context loop;
         boost::asio::co_spawn(loop, registry.synchronise(), [&done](const std::exception_ptr &, bool result) {
             done = result;
         });
         loop.run();
+        loop.restart();
         return done;
     }
 
@@ -44,6 +45,7 @@
         view = {.followedSince = followedSince, .versions = {{s_service, std::move(versions)}}};
     }
 
+    boost::asio::io_context loop;
     VersionRegistry<SharedRows>::View view;
     std::optional<VersionRow> known;
     VersionRegistry<SharedRows> registry;
