Know that there were no streams before the first start

Change: at the first start of the whole fleet, which the settings tell, the versions in the list are all that there were.

--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -471,6 +471,7 @@
                         }
                         m_gateway.board().addFormerVersions(service, former, instant(row.since));
                     },
+                .firstStart = m_options.firstStart,
                 .delay = Duration(static_cast<Duration::rep>(stableHash(m_options.incarnation) % s_maxVersionDelay.count()))};
     }
 
--- a/src/membership/versionregistry.h
+++ b/src/membership/versionregistry.h
@@ -40,6 +40,8 @@
         std::function<void(const std::string &service, const VersionRow &row, StoreTimeMs storeTime)> onRow;
         /// Time between two looks at the list.
         Duration interval = std::chrono::seconds(1);
+        /// The whole fleet starts for the first time, so there were no streams before.
+        bool firstStart = false;
         /// How much later than others this router writes a change that all of them have seen.
         Duration delay{};
     };
@@ -110,6 +112,7 @@
     {
         RowTransaction transaction;
         const auto followed = std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - *view.followedSince).count();
+        const StoreTimeMs knownSince = m_options.firstStart ? 0 : read.storeTime - followed;
         for (const auto &[service, present] : view.versions) {
             const auto stored = std::ranges::find(read.rows, service, [](const StoredRow &row) {
                 return row.address.key;
@@ -123,7 +126,7 @@
                     logLine(Severity::Error, "versions.unreadable", {{"service", service}});
                 }
             }
-            const VersionRow updated = updatedVersionRow(row, present, followed, read.storeTime);
+            const VersionRow updated = updatedVersionRow(row, present, knownSince, read.storeTime);
             m_options.onRow(service, updated, read.storeTime);
             if ((!row || *row != updated) && transaction.changes.size() < s_maxChanges) {
                 const RowAddress address{.table = std::string(s_versionTable), .part = "", .key = service};
--- a/src/membership/versionrow.cpp
+++ b/src/membership/versionrow.cpp
@@ -12,9 +12,9 @@
 }
 
 VersionRow
-updatedVersionRow(const std::optional<VersionRow> &row, const std::set<std::string> &present, StoreTimeMs followedMs, StoreTimeMs now)
+updatedVersionRow(const std::optional<VersionRow> &row, const std::set<std::string> &present, StoreTimeMs knownSince, StoreTimeMs now)
 {
-    VersionRow updated = row.value_or(VersionRow{.since = now - followedMs});
+    VersionRow updated = row.value_or(VersionRow{.since = knownSince});
     for (const std::string &version : present) {
         updated.versions[version] = std::nullopt;
     }
--- a/src/membership/versionrow.h
+++ b/src/membership/versionrow.h
@@ -28,7 +28,7 @@
 /// The row after a router has seen these versions in the list; `followedMs` is for how long it has followed the list without a gap.
 /// Versions that have been gone for ten minutes are dropped. Pure.
 VersionRow
-updatedVersionRow(const std::optional<VersionRow> &row, const std::set<std::string> &present, StoreTimeMs followedMs, StoreTimeMs now);
+updatedVersionRow(const std::optional<VersionRow> &row, const std::set<std::string> &present, StoreTimeMs knownSince, StoreTimeMs now);
 
 std::string toText(const VersionRow &row);
 
--- a/src/tests/streamfleet.cpp
+++ b/src/tests/streamfleet.cpp
@@ -101,7 +101,7 @@
         return;
     }
     const std::set<std::string> present = router.board->listedVersions().at(s_service);
-    m_row = updatedVersionRow(m_row, present, storeTime(m_now) - storeTime(*followedSince), storeTime(m_now));
+    m_row = updatedVersionRow(m_row, present, storeTime(*followedSince), storeTime(m_now));
     std::map<std::string, Instant> former;
     for (const auto &[version, goneAt] : m_row->versions) {
         former.emplace(version, goneAt ? Instant(std::chrono::milliseconds(*goneAt)) : m_now);
--- a/src/tests/versionregistrytest.cpp
+++ b/src/tests/versionregistrytest.cpp
@@ -15,7 +15,7 @@
 
 /// A router's view of the list, and what it learns from the store.
 struct Router {
-    explicit Router(SharedRows &rows)
+    explicit Router(SharedRows &rows, bool firstStart = false)
         : registry(loop.get_executor(),
                    rows,
                    {.view =
@@ -25,7 +25,8 @@
                     .onRow =
                         [this](const std::string &, const VersionRow &row, StoreTimeMs) {
                             known = row;
-                        }})
+                        },
+                    .firstStart = firstStart})
     {
     }
 
@@ -124,6 +125,19 @@
     BOOST_TEST((other.known == router.known));
 }
 
+// Guards against a fleet that has just started for the first time and refuses streams because of what may have been before.
+BOOST_AUTO_TEST_CASE(nothingWasBeforeTheFirstStart)
+{
+    SharedRows rows;
+    Router first(rows, true);
+    first.lists({"v1"});
+    BOOST_TEST(first.synchronise());
+    Router later(rows);
+    later.lists({"v1"});
+    BOOST_TEST(later.synchronise());
+    BOOST_TEST(later.known->since == 0);
+}
+
 BOOST_AUTO_TEST_CASE(textOfARowIsReadBack)
 {
     const VersionRow row{.since = 7, .versions = {{"", std::nullopt}, {"v1", 12}, {"v2", std::nullopt}}};
