--- a/src/membership/versionregistry.h
+++ b/src/membership/versionregistry.h
@@ -106,13 +106,15 @@
 private:
     /// The store allows at most a hundred entries per transaction, counting conditions and changes.
     static constexpr std::size_t s_maxChanges = 40;
+    /// Longer than any stream lasts. The store's clock may have begun later than that, so a row may name a negative time.
+    static constexpr StoreTimeMs s_longestStreamMs = 86'400'000;
 
     /// Reports the rows, and returns the changes that they need.
     RowTransaction applyRows(const RowsSnapshot &read, const View &view)
     {
         RowTransaction transaction;
         const auto followed = std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - *view.followedSince).count();
-        const StoreTimeMs knownSince = m_options.firstStart ? 0 : read.storeTime - followed;
+        const StoreTimeMs knownSince = read.storeTime - (m_options.firstStart ? s_longestStreamMs : followed);
         for (const auto &[service, present] : view.versions) {
             const auto stored = std::ranges::find(read.rows, service, [](const StoredRow &row) {
                 return row.address.key;
