--- a/src/measure/capacity.cpp
+++ b/src/measure/capacity.cpp
@@ -6,6 +6,8 @@
 #include "inventory/teamkey.h"
 #include "link/link.pb.h"
 #include "membership/peerdirectory.h"
+#include "routing/streamorigin.h"
+#include "routing/streamoriginstore.h"
 #include "routing/targettable.h"
 #include "store/memorytable.h"
 
@@ -187,6 +189,65 @@
     print("router time for one choice", "targets", "microseconds", choosing);
 }
 
+/// What streams that may be resumed cost the routers that begin them and the relays that keep where they began.
+void measureStreams()
+{
+    std::vector<Point> bytes;
+    for (const int origins : {1000, 2000, 5000, 10'000, 20'000}) {
+        const double before = heapBytes();
+        auto store = std::make_unique<StreamOriginStore>();
+        for (int index = 0; index < origins; ++index) {
+            store->record(streamKey("team", numbered("0123456789abcde", index)), {.service = "drafting", .version = "v1.2"}, s_now);
+        }
+        bytes.push_back({static_cast<double>(origins), heapBytes() - before});
+    }
+    print("relay memory", "origins of streams kept", "bytes", bytes);
+    std::vector<Point> choosing;
+    std::vector<Point> refreshing;
+    for (const int relays : {50, 100, 200, 400, 870}) {
+        std::vector<std::string> addresses;
+        TargetBalancer board({});
+        for (int index = 0; index < relays; ++index) {
+            addresses.push_back(numbered("10.10.10.100:7340", index));
+            board.updateListing({.incarnation = numbered("i-0123456789-", index), .service = "drafting", .relay = addresses.back()}, s_now);
+        }
+        StreamKeepers keepers;
+        refreshing.push_back({static_cast<double>(relays), microseconds([&] {
+                                  keepers.setProcesses(board.relays("drafting"));
+                              })});
+        choosing.push_back({static_cast<double>(relays), microseconds([&] {
+                                (void)keepers.keepersOf(streamKey("team", "0123456789abcdef"), 2);
+                            })});
+    }
+    print("router time to choose the keepers of a stream", "relays", "microseconds", choosing);
+    print("router time to look up the relays", "relays", "microseconds", refreshing);
+    std::vector<Point> report;
+    std::vector<Point> question;
+    std::vector<Point> answer;
+    for (const int length : {8, 16, 32}) {
+        wire::LoadNote note;
+        note.set_sequence(1'000'000);
+        note.mutable_stream()->set_key(UINT64_MAX);
+        note.set_asks(true);
+        question.push_back({static_cast<double>(length), static_cast<double>(note.ByteSizeLong())});
+        note.set_asks(false);
+        const std::string half(static_cast<std::size_t>(length / 2), 'x');
+        note.mutable_stream()->set_service(half);
+        note.mutable_stream()->set_version(half);
+        report.push_back({static_cast<double>(length), static_cast<double>(note.ByteSizeLong())});
+        wire::LoadAnswer reply;
+        reply.set_sequence(1'000'000);
+        reply.mutable_stream()->set_known(true);
+        reply.mutable_stream()->set_service(half);
+        reply.mutable_stream()->set_version(half);
+        reply.mutable_stream()->set_age_ms(30'000);
+        answer.push_back({static_cast<double>(length), static_cast<double>(reply.ByteSizeLong())});
+    }
+    print("report of a stream", "characters of service and version", "bytes", report);
+    print("question about a stream", "characters of service and version", "bytes", question);
+    print("answer about a stream", "characters of service and version", "bytes", answer);
+}
+
 /// The board of a router without sidecars, with a service of 21 models' size: all targets serve one, which is the worst case.
 void measureBoard()
 {
@@ -357,6 +418,7 @@
     measureFlush();
     measureTargets();
     measureBoard();
+    measureStreams();
     measureTeams();
     measurePeers();
     measureRuns();
