--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -3,12 +3,10 @@
 #include "clock/steadytime.h"
 #include "gateway/requestcost.h"
 #include "gateway/requesttimes.h"
-#include "net/pause.h"
 #include "operations/log.h"
 #include "routing/stablehash.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <array>
@@ -31,8 +29,6 @@
 /// A response up to this size is buffered until it is complete, so that an incomplete one can be replaced. Buffering longer ones would
 /// delay their callers.
 constexpr std::size_t s_maxBufferedBytes = 256 * 1024;
-/// A router that has just read the list of targets reads within this time which versions there were before.
-constexpr Duration s_versionsReadTime = std::chrono::milliseconds(100);
 /// Sent to callers while this router has no routing plan yet.
 constexpr std::int64_t s_retryAfterStartupMs = 700;
 /// One in this many requests that were answered within their objective is logged, and all others.
@@ -59,6 +55,7 @@
     , m_exchange(exchange)
     , m_plan(std::move(plan))
     , m_arrived(arrived)
+    , m_binding(gateway.m_board, gateway.m_streamOrigins, gateway.m_metrics)
 {
     m_gateway.m_activeRequests.insert(this);
 }
@@ -73,7 +70,7 @@
 {
     absl::Status admitted = findRoute();
     if (admitted.ok()) {
-        admitted = co_await findOrigin();
+        admitted = co_await continueStream();
     }
     if (admitted.ok()) {
         admitted = admit();
@@ -186,104 +183,32 @@
     return absl::OkStatus();
 }
 
-asio::awaitable<absl::Status> RequestHandler::findOrigin()
+asio::awaitable<absl::Status> RequestHandler::continueStream()
 {
     if (m_route->repeatability != Repeatability::Stream || m_metadata.resumeAfter.empty()) {
         co_return absl::OkStatus();
     }
-    std::vector<std::string> services;
-    for (const ServiceShare &share : m_route->services) {
-        services.push_back(share.service);
-    }
-    const bool named = !m_metadata.resumes.empty();
-    StreamQueryResult keepers;
-    if (named) {
-        keepers = co_await m_gateway.m_streamOrigins.find(streamKey(m_team, m_metadata.resumes), services);
-    }
-    const Duration longest = longestStream(m_route->timeout);
-    ContinuationFacts facts{.named = named,
-                            .origins = keepers.origins,
-                            .keepersSilent = keepers.answeredBefore > 0 && keepers.answered == 0,
-                            .services = services,
-                            .seen = m_gateway.m_board.seenVersions(m_serviceName, longest, steadyNow()),
-                            .longestStream = longest};
-    Continuation continuation = decideContinuation(facts);
-    if (continuation.kind == Continuation::Kind::Nowhere && facts.seen.followedFor.value_or(longest) < s_versionsReadTime) {
-        co_await pause(s_versionsReadTime);
-        facts.seen = m_gateway.m_board.seenVersions(m_serviceName, longest, steadyNow());
-        continuation = decideContinuation(facts);
-    }
-    logContinuation(continuation, facts, keepers);
+    StreamBinding::Request request = streamRequest();
+    const Continuation continuation = co_await m_binding.takeUp(std::move(request));
     if (continuation.kind == Continuation::Kind::Nowhere) {
-        const RetryAfterRequest request{.service = m_serviceName,
+        const Instant now = steadyNow();
+        const RetryAfterRequest refused{.service = m_serviceName,
                                         .urgency = m_plan->urgency(m_serviceName, m_priority),
                                         .requestHash = stableHash(m_metadata.requestId),
-                                        .timeLeft = m_deadline - steadyNow()};
+                                        .timeLeft = m_deadline - now};
         co_return toStatus({.kind = FailureKind::NoTarget,
                             .detail = absl::StrCat("the stream cannot go on: ", std::string(continuation.reason)),
-                            .retryAfterMs = inMs(m_gateway.retryAfter(request, steadyNow()))});
+                            .retryAfterMs = inMs(m_gateway.retryAfter(refused, now))});
     }
-    m_version = continuation.origin.version;
-    m_originKnown = continuation.kind == Continuation::Kind::AtOrigin;
-    if (m_originKnown) {
+    if (!continuation.origin.service.empty()) {
         m_serviceName = continuation.origin.service;
     }
     co_return absl::OkStatus();
 }
 
-bool RequestHandler::mayContinueStream()
-{
-    if (!m_streamStarted || !m_versionUnknown) {
-        return true;
-    }
-    const Duration longest = longestStream(m_route->timeout);
-    const ContinuationFacts facts{.seen = m_gateway.m_board.seenVersions(m_serviceName, longest, steadyNow()), .longestStream = longest};
-    const Continuation continuation = decideContinuation(facts);
-    logContinuation(continuation, facts, {});
-    m_version = continuation.origin.version;
-    return continuation.kind != Continuation::Kind::Nowhere;
-}
-
-void RequestHandler::logContinuation(const Continuation &continuation,
-                                     const ContinuationFacts &facts,
-                                     const StreamQueryResult &keepers) const
+StreamBinding::Request RequestHandler::streamRequest() const
 {
-    const bool allowed = continuation.kind != Continuation::Kind::Nowhere;
-    const std::string_view outcome = allowed ? "goes_on" : "refused";
-    m_gateway.m_metrics.count("stream_continuations_total", {.name = "outcome", .value = outcome});
-    logLine(Severity::Info,
-            "stream.continuation",
-            {{"request", m_metadata.requestId},
-             {"resumes", m_metadata.resumes},
-             {"last_event", m_metadata.resumeAfter},
-             {"outcome", outcome},
-             {"reason", continuation.reason},
-             {"service", m_serviceName},
-             {"version", continuation.origin.version},
-             {"origins", static_cast<std::int64_t>(facts.origins.size())},
-             {"origin_age_ms", facts.origins.empty() ? -1 : inMs(facts.origins.front().age)},
-             {"keepers_asked", static_cast<std::int64_t>(keepers.asked)},
-             {"keepers_answered", static_cast<std::int64_t>(keepers.answered)},
-             {"versions_seen", absl::StrJoin(facts.seen.versions, ",")},
-             {"list_followed_ms", facts.seen.followedFor ? inMs(*facts.seen.followedFor) : -1}});
-}
-
-void RequestHandler::recordOrigin()
-{
-    const TargetBalancer &targets = m_gateway.m_board;
-    const bool sameProcess = !targets.hasRestarted(m_placement->name, m_placement->incarnation);
-    const bool sameVersion =
-        !targets.isKnown(m_placement->incarnation) || targets.version(m_placement->incarnation) == m_placement->version;
-    if (m_version.empty()) {
-        m_version = sameProcess && sameVersion ? m_placement->version : std::string();
-        m_versionUnknown = m_version.empty();
-    }
-    const bool continued = !m_metadata.resumeAfter.empty();
-    if (!m_route->resumable || m_versionUnknown || (continued && !m_originKnown)) {
-        return;
-    }
-    const std::string &beganAs = continued ? m_metadata.resumes : m_metadata.requestId;
-    m_gateway.m_streamOrigins.record(streamKey(m_team, beganAs), {.service = m_serviceName, .version = m_version});
+    return {.metadata = m_metadata, .route = *m_route, .team = m_team, .service = m_serviceName};
 }
 
 absl::Status RequestHandler::admit()
@@ -341,7 +266,7 @@
             co_return m_possibleExecutions == 0 ? AttemptOutcome::NotRun : AttemptOutcome::CallerDisconnected;
         }
         const PlacementRequest wish{.service = m_serviceName,
-                                    .version = m_version,
+                                    .version = m_binding.version(),
                                     .prompt = m_metadata.prompt,
                                     .excluded = m_triedTargets,
                                     .seed = stableHash(m_metadata.requestId) + m_triedTargets.size()};
@@ -383,7 +308,7 @@
 QueueDispatcher::Ticket RequestHandler::queueTicket()
 {
     return {.service = m_serviceName,
-            .version = m_version,
+            .version = m_binding.version(),
             .team = m_team,
             .route = m_route->name,
             .urgency = m_urgency,
@@ -540,7 +465,7 @@
     if (mayHaveRun && (!m_route->repeatable() || m_possibleExecutions >= m_route->maxAttempts)) {
         return false;
     }
-    if (!mayContinueStream()) {
+    if (m_streamStarted && !m_binding.mayGoOn(streamRequest())) {
         m_lastError.append("; the version that began the stream is not known");
         return false;
     }
@@ -720,7 +645,7 @@
         co_return;
     }
     m_streamStarted = true;
-    recordOrigin();
+    m_binding.streamBegins(streamRequest(), *m_placement);
     std::vector<HttpHeader> headers = endToEndHeaders(call.headers());
     const bool headWritten = co_await m_exchange.beginStream(call.status(), "", std::move(headers));
     m_callerDisconnected = m_callerDisconnected || !headWritten;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -3,7 +3,7 @@
 #include "gateway/attemptoutcome.h"
 #include "gateway/eventstreamparser.h"
 #include "gateway/gateway.h"
-#include "gateway/streamcontinuation.h"
+#include "gateway/streambinding.h"
 #include "quarantine/requestfingerprint.h"
 
 #include <memory>
@@ -52,13 +52,9 @@
     /// Finds the route and the team of the request.
     absl::Status findRoute();
     absl::Status admit();
-    /// Finds out at which version a stream may go on that the caller takes up.
-    asio::awaitable<absl::Status> findOrigin();
-    /// Whether the stream in progress may go on at another target. Restricts the further attempts to its version.
-    bool mayContinueStream();
-    void logContinuation(const Continuation &continuation, const ContinuationFacts &facts, const StreamQueryResult &keepers) const;
-    /// The first event of the stream is about to be sent to the caller.
-    void recordOrigin();
+    /// Fails if the caller takes up a stream that cannot go on. Sets the service at which it goes on otherwise.
+    asio::awaitable<absl::Status> continueStream();
+    StreamBinding::Request streamRequest() const;
     /// Fails as the request would if it arrived under this plan.
     absl::StatusOr<Access> findAccess(const RoutingPlan &plan) const;
     /// The urgency under a newer plan, which also becomes the request's priority at its target.
@@ -116,6 +112,7 @@
     HttpExchange &m_exchange;
     std::shared_ptr<const RoutingPlan> m_plan;
     Instant m_arrived;
+    StreamBinding m_binding;
     RequestMetadata m_metadata;
     const Route *m_route = nullptr;
     const ServicePlan *m_service = nullptr;
@@ -146,12 +143,6 @@
 
     EventStreamParser m_eventParser;
     bool m_streamStarted = false;
-    /// The software version to which the stream is bound; empty while it is not bound to any.
-    std::string m_version;
-    /// The stream began at a target whose version is not known.
-    bool m_versionUnknown = false;
-    /// The stream was begun by an earlier request of the caller, at a known version.
-    bool m_originKnown = false;
     /// Whether the request is counted in the gateway's number of streams.
     bool m_countedStream = false;
     std::optional<BufferedResponse> m_failureResponse;
