Count and log how far the requests of callers get on an overloaded host

Change: HttpServer counts connections, heads, requests that end within a head or a body, answered and unanswered ones, and measures the times to the end of the first head and of the body; host.callers logs them once a second while the host is overloaded.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 /// Minimum sent to callers of an overloaded router, whose next attempt then reaches another router or is most likely admitted.
 constexpr Duration s_minRedirectDelay = std::chrono::milliseconds(50);
 constexpr double s_percent = 100;
+constexpr Duration s_callerLogInterval = std::chrono::seconds(1);
 /// The pressures are exported twice a second.
 constexpr unsigned s_measurementsPerExport = 10;
 
@@ -159,6 +160,7 @@
                  {"in_flight", static_cast<std::int64_t>(m_activeRequests.size())}});
     }
     m_shedding = shedding;
+    logCallers(now);
     return m_options.measuresHostLoad && updateRotation(now);
 }
 
@@ -222,6 +224,35 @@
     }
 }
 
+void Gateway::logCallers(Instant now)
+{
+    if (now - m_callersLoggedAt < s_callerLogInterval || (!m_shedding && m_hostLoad.pressure() < 1)) {
+        return;
+    }
+    m_callersLoggedAt = now;
+    const CallerCounts &counts = *m_callerCounts;
+    const auto number = [](std::uint64_t value) {
+        return static_cast<std::int64_t>(value);
+    };
+    logLine(Severity::Info,
+            "host.callers",
+            {{"connections", number(counts.connections)},
+             {"heads", number(counts.heads)},
+             {"left_in_head", number(counts.leftInHead)},
+             {"left_in_body", number(counts.leftInBody)},
+             {"answered", number(counts.answered)},
+             {"left_unanswered", number(counts.leftUnanswered)},
+             {"first_head_us", number(counts.firstHeadUs)},
+             {"longest_first_head_us", number(m_callerCounts->longestFirstHeadUs.exchange(0))},
+             {"body_us", number(counts.bodyUs)},
+             {"longest_body_us", number(m_callerCounts->longestBodyUs.exchange(0))},
+             {"in_flight", number(m_activeRequests.size())},
+             {"delay_percent", static_cast<std::int64_t>(s_percent * m_hostLoad.pressure(HostMeasure::Delay))},
+             {"link_in_percent", static_cast<std::int64_t>(s_percent * m_hostLoad.pressure(HostMeasure::LinkIn))},
+             {"link_out_percent", static_cast<std::int64_t>(s_percent * m_hostLoad.pressure(HostMeasure::LinkOut))},
+             {"refused_percent", static_cast<std::int64_t>(s_percent * m_shedder.refusedShare())}});
+}
+
 bool Gateway::refusesAsFull(Duration objective, Instant now) const
 {
     return m_options.shedsLoad && m_options.measuresHostLoad && m_hostLoad.refusesAsFull(objective, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -171,6 +171,12 @@
         return m_traffic;
     }
 
+    /// Counts how far the requests of callers get.
+    const std::shared_ptr<CallerCounts> &callerCounts() const
+    {
+        return m_callerCounts;
+    }
+
     /// Records the outcome of a datagram query to a relay. Returns whether a timeout counts against the relay.
     bool recordRelayQuery(const LoadClient::QueryOutcome &outcome);
 
@@ -215,6 +221,8 @@
     bool updateRotation(Instant now);
     /// Exports the pressure by each measure, at intervals.
     void exportPressure();
+    /// Logs once a second how far the requests of callers got while this host is overloaded.
+    void logCallers(Instant now);
     /// Whether a request is refused because this router is overloaded.
     bool shouldShed(std::string_view requestId, std::string_view service, Urgency urgency, Instant now);
     /// Records that a connection to a target was opened, or timed out.
@@ -239,6 +247,8 @@
     HostLoad m_hostLoad;
     Rotation m_rotation;
     std::shared_ptr<Traffic> m_traffic = std::make_shared<Traffic>();
+    std::shared_ptr<CallerCounts> m_callerCounts = std::make_shared<CallerCounts>();
+    Instant m_callersLoggedAt{};
     /// The measure by which the host became overloaded.
     HostMeasure m_overloadMeasure = HostMeasure::Delay;
     unsigned m_measurements = 0;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -322,6 +322,7 @@
     {
         HttpServer::Options options{.address = m_options.callers.address, .port = m_options.callers.port, .exclusive = true};
         options.traffic = m_gateway.traffic();
+        options.counts = m_gateway.callerCounts();
         options.limits = [this] {
             const CallerLimits limits = m_gateway.plan() ? m_gateway.plan()->limits() : CallerLimits{};
             return HttpLimits{.maxHeaderBytes = limits.maxHeaderBytes,
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -15,6 +15,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <exception>
@@ -339,6 +340,7 @@
 void HttpServer::startSession(asio::ip::tcp::socket socket)
 {
     ++m_connections;
+    count(&CallerCounts::connections);
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const asio::any_io_executor executor = socket.get_executor();
@@ -382,6 +384,23 @@
     }
 }
 
+void HttpServer::count(std::atomic<std::uint64_t> CallerCounts::*number)
+{
+    if (m_options.counts) {
+        ++((*m_options.counts).*number);
+    }
+}
+
+void HttpServer::measure(std::atomic<std::uint64_t> CallerCounts::*total, std::atomic<std::uint64_t> CallerCounts::*longest, Instant since)
+{
+    if (m_options.counts) {
+        const auto us = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(steadyNow() - since).count());
+        (*m_options.counts).*total += us;
+        auto &most = (*m_options.counts).*longest;
+        most = std::max<std::uint64_t>(most, us);
+    }
+}
+
 void HttpServer::countReceived(std::size_t bytes)
 {
     if (m_options.traffic) {
@@ -423,6 +442,13 @@
     session.stream.expires_after(limits.headerTimeout);
     auto [error, size] = co_await http::async_read_header(session.stream, session.buffer, parser, s_tuple);
     countReceived(size);
+    const bool headRead = !error;
+    if (headRead) {
+        count(&CallerCounts::heads);
+        if (!session.hasServed) {
+            measure(&CallerCounts::firstHeadUs, &CallerCounts::longestFirstHeadUs, session.acceptedAt);
+        }
+    }
     HeldBytes held(m_options.traffic);
     // With a transfer coding that this server does not support, the end of the request is unknown and another request could be smuggled in
     // its body.
@@ -432,6 +458,7 @@
             co_await asio::async_write(session.stream, asio::buffer(s_continue), s_tuple);
         }
         session.stream.expires_after(limits.bodyTimeout);
+        const Instant headReadAt = steadyNow();
         // Read in parts, so that a long body counts while it arrives.
         parser.eager(true);
         while (!error && !parser.is_done()) {
@@ -439,11 +466,13 @@
             countReceived(size);
             held.add(size);
         }
+        measure(&CallerCounts::bodyUs, &CallerCounts::longestBodyUs, headReadAt);
     }
     session.stream.expires_never();
     const bool connectionLost = error == http::error::end_of_stream || error == http::error::partial_message
         || (error && error != beast::error::timeout && error.category() != http::make_error_code(http::error::bad_method).category());
     if (connectionLost) {
+        count(headRead ? &CallerCounts::leftInBody : &CallerCounts::leftInHead);
         co_return false;
     }
     HttpExchange exchange(session.stream, parser.release(), m_keepAliveDisabled, m_options.traffic);
@@ -453,6 +482,7 @@
         co_return false;
     }
     co_await m_handler(exchange);
+    count(exchange.answered() ? &CallerCounts::answered : &CallerCounts::leftUnanswered);
     session.hasServed = true;
     co_return exchange.keepAlive();
 }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -173,6 +173,8 @@
         std::function<HttpLimits()> limits;
         /// Counts the bytes on the connections. Empty: they are not counted.
         std::shared_ptr<Traffic> traffic;
+        /// Counts how far requests get. Empty: they are not counted.
+        std::shared_ptr<CallerCounts> counts;
     };
 
     HttpServer(WorkerPool &pool, Options options, HttpHandler handler);
@@ -218,6 +220,9 @@
     asio::awaitable<bool> serveRequest(Session &session);
     asio::awaitable<bool> awaitRequest(Session &session, const HttpLimits &limits);
     void countReceived(std::size_t bytes);
+    void count(std::atomic<std::uint64_t> CallerCounts::*number);
+    /// Adds the time since an event to a total, and to the longest.
+    void measure(std::atomic<std::uint64_t> CallerCounts::*total, std::atomic<std::uint64_t> CallerCounts::*longest, Instant since);
     static asio::awaitable<void> drainBeforeClose(Session &session);
 
     WorkerPool &m_pool;
--- a/src/net/traffic.h
+++ b/src/net/traffic.h
@@ -16,6 +16,24 @@
     std::atomic<std::int64_t> held = 0;
 };
 
+/// Counts how far the requests of callers got. Thread-safe.
+struct CallerCounts {
+    std::atomic<std::uint64_t> connections = 0;
+    /// The connection ended after a part of the head, or of the body.
+    std::atomic<std::uint64_t> leftInHead = 0;
+    std::atomic<std::uint64_t> leftInBody = 0;
+    std::atomic<std::uint64_t> heads = 0;
+    /// Any part of an answer was sent, or none.
+    std::atomic<std::uint64_t> answered = 0;
+    std::atomic<std::uint64_t> leftUnanswered = 0;
+    /// Microseconds from the accepting of connections to the ends of their first heads, in total and at most.
+    std::atomic<std::uint64_t> firstHeadUs = 0;
+    std::atomic<std::uint64_t> longestFirstHeadUs = 0;
+    /// The same from the end of the head to the end of the body.
+    std::atomic<std::uint64_t> bodyUs = 0;
+    std::atomic<std::uint64_t> longestBodyUs = 0;
+};
+
 /// Counts bytes as held until it is destroyed. Without a `Traffic` it does nothing. Shares the counters, since the last coroutines of an
 /// event loop are destroyed after the objects that they served.
 class HeldBytes
