Let overloaded hosts refuse at a cost that they can bear

Small hosts (0.09 of a core, 10 Mbit/s) read 250 to 470 requests a second and refused up to 95% of them while their link was full. Cause: a host refused a request after it had read all of it, kept its connection, and counted what arrives on the link towards the share of requests to refuse, though refusing relieves no link: the share went to 95% and stayed there with the processor idle. Change: the handler reads bodies itself and refuses by the head alone; a refused caller's connection is closed; bytes received do not count towards the refused share; ConnectionGate limits new connections while the link is full or most requests are refused, and the system refuses the others. What remains: all connections of one team in a zone come in at one host, first attempts and retries alike, and the hosts that could carry it are idle.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,6 +35,7 @@
     , m_dispatcher(m_executor, m_board, m_chooser, m_metrics, m_options.queue)
     , m_shares(m_options.shares)
     , m_hostLoad(m_options.hostLoad)
+    , m_connectionGate({.linkMbps = m_options.hostLoad.linkMbps})
     , m_rotation(m_options.rotation)
     , m_retryBudget(m_options.retryBudget)
     , m_guard(m_executor, m_metrics, m_options.quarantine)
@@ -144,7 +145,7 @@
     const Instant now = steadyNow();
     if (m_options.measuresHostLoad) {
         m_hostLoad.record({.delay = delay, .received = m_traffic->received, .sent = m_traffic->sent, .held = m_traffic->held}, now);
-        m_shedder.recordPressure(m_hostLoad.pressure(), now);
+        m_shedder.recordPressure(m_hostLoad.requestPressure(), now);
         exportPressure();
     } else {
         m_shedder.recordDelay(delay, now);
@@ -164,6 +165,15 @@
     return m_options.measuresHostLoad && updateRotation(now);
 }
 
+std::optional<std::size_t> Gateway::connectionLimit()
+{
+    if (!m_options.shedsLoad || !m_options.measuresHostLoad) {
+        return std::nullopt;
+    }
+    return m_connectionGate.update({.received = m_traffic->received, .served = m_servedByHost, .refusedShare = m_shedder.refusedShare()},
+                                   steadyNow());
+}
+
 bool Gateway::overloaded() const
 {
     return m_options.measuresHostLoad ? m_rotation.out() : m_shedder.overloaded(steadyNow());
@@ -250,6 +260,7 @@
              {"delay_percent", static_cast<std::int64_t>(s_percent * m_hostLoad.pressure(HostMeasure::Delay))},
              {"link_in_percent", static_cast<std::int64_t>(s_percent * m_hostLoad.pressure(HostMeasure::LinkIn))},
              {"link_out_percent", static_cast<std::int64_t>(s_percent * m_hostLoad.pressure(HostMeasure::LinkOut))},
+             {"limits_connections", static_cast<std::int64_t>(m_connectionGate.limiting())},
              {"refused_percent", static_cast<std::int64_t>(s_percent * m_shedder.refusedShare())}});
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "net/httpserver.h"
 #include "net/signal.h"
 #include "operations/metrics.h"
+#include "overload/connectiongate.h"
 #include "overload/hostload.h"
 #include "overload/retryafterplanner.h"
 #include "overload/rotation.h"
@@ -180,6 +181,9 @@
     /// Records the outcome of a datagram query to a relay. Returns whether a timeout counts against the relay.
     bool recordRelayQuery(const LoadClient::QueryOutcome &outcome);
 
+    /// How many new connections of callers are to be accepted until the next measurement; none: any number.
+    std::optional<std::size_t> connectionLimit();
+
     /// Whether callers are better served by other routers.
     bool overloaded() const;
 
@@ -244,7 +248,10 @@
     ServiceShares m_shares;
     LoadShedder m_shedder;
     bool m_shedding = false;
+    /// Requests that were not refused because of the host's load.
+    std::uint64_t m_servedByHost = 0;
     HostLoad m_hostLoad;
+    ConnectionGate m_connectionGate;
     Rotation m_rotation;
     std::shared_ptr<Traffic> m_traffic = std::make_shared<Traffic>();
     std::shared_ptr<CallerCounts> m_callerCounts = std::make_shared<CallerCounts>();
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -323,6 +323,7 @@
         HttpServer::Options options{.address = m_options.callers.address, .port = m_options.callers.port, .exclusive = true};
         options.traffic = m_gateway.traffic();
         options.counts = m_gateway.callerCounts();
+        options.handlerReadsBodies = true;
         options.limits = [this] {
             const CallerLimits limits = m_gateway.plan() ? m_gateway.plan()->limits() : CallerLimits{};
             return HttpLimits{.maxHeaderBytes = limits.maxHeaderBytes,
@@ -635,7 +636,10 @@
             }
             m_metrics.gauge("host_out_of_rotation", {.name = "host", .value = m_options.callers.address}, m_gateway.overloaded() ? 1 : 0);
             overloadedSince = m_gateway.overloaded() ? overloadedSince : now;
-            m_callers.setKeepAliveDisabled(m_draining || now - overloadedSince > ShutdownSequence::Options{}.rotationTime);
+            const std::optional<std::size_t> limit = m_gateway.connectionLimit();
+            m_callers.limitConnections(m_draining ? std::nullopt : limit);
+            m_callers.setKeepAliveDisabled(m_draining || limit.has_value()
+                                           || now - overloadedSince > ShutdownSequence::Options{}.rotationTime);
         }
     }
 
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -75,6 +75,15 @@
     if (admitted.ok()) {
         admitted = co_await continueStream();
     }
+    if (admitted.ok()) {
+        admitted = admitToHost();
+    }
+    if (!m_refusedByHost) {
+        const bool read = co_await m_exchange.readBody();
+        if (!read) {
+            co_return;
+        }
+    }
     if (admitted.ok()) {
         admitted = admit();
     }
@@ -206,13 +215,8 @@
     return {.metadata = m_metadata, .route = *m_route, .team = m_team, .service = m_serviceName};
 }
 
-absl::Status RequestHandler::admit()
+absl::Status RequestHandler::admitToHost()
 {
-    // It may have waited for the first configuration, or for the keepers of a stream.
-    const Instant now = steadyNow();
-    if (!endsBeforeShutdown(now)) {
-        return toStatus(drainFailure("this router ends before the request would", now));
-    }
     m_share.arrive(shareRequest(), m_arrived);
     if (m_gateway.refusesAsFull(m_route->latencyObjective, m_arrived) && !m_share.isPromised()) {
         countHostRefusal("full");
@@ -228,6 +232,17 @@
                          .detail = "this router is overloaded",
                          .retryAfterMs = inMs(m_gateway.redirectDelay(m_arrived))});
     }
+    ++m_gateway.m_servedByHost;
+    return absl::OkStatus();
+}
+
+absl::Status RequestHandler::admit()
+{
+    // It may have waited for the first configuration, for the keepers of a stream, or for its body.
+    const Instant now = steadyNow();
+    if (!endsBeforeShutdown(now)) {
+        return toStatus(drainFailure("this router ends before the request would", now));
+    }
     m_screening.identify({.team = m_team, .service = m_serviceName, .model = m_metadata.model, .prompt = m_metadata.prompt});
     if (const absl::Status held = m_screening.admit(); !held.ok()) {
         return held;
@@ -803,6 +818,7 @@
 
 void RequestHandler::countHostRefusal(std::string_view reason)
 {
+    m_refusedByHost = true;
     const std::string priority = absl::StrCat(m_priority);
     const std::array<MetricLabel, 2> labels{{{.name = "priority", .value = priority}, {.name = "reason", .value = reason}}};
     m_gateway.m_metrics.count("host_refused_total", labels);
@@ -816,6 +832,10 @@
         const double retrySeconds = seconds(std::chrono::milliseconds(*m_retryAfterMs));
         m_gateway.m_metrics.observe("retry_after_seconds", {.name = "service", .value = m_serviceName}, retrySeconds);
     }
+    if (m_refusedByHost) {
+        // On an open connection the caller's next request would reach this host again.
+        m_exchange.setConnectionClose();
+    }
     logRequestEnd(failureName(failure.kind), failure.detail);
     FailureResponse refusal = m_gateway.m_options.codec.failureResponse(failure);
     std::string body = errorBody(failure, m_metadata.requestId);
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -22,7 +22,7 @@
 class RequestHandler
 {
 public:
-    /// `arrived` is when the whole request had been read.
+    /// `arrived` is when the head of the request had been read.
     RequestHandler(Gateway &gateway, HttpExchange &exchange, std::shared_ptr<const RoutingPlan> plan, Instant arrived);
     ~RequestHandler();
 
@@ -59,6 +59,8 @@
 
     /// Finds the route and the team of the request.
     absl::Status findRoute();
+    /// Refuses a request that this router has no time for, before its body is read.
+    absl::Status admitToHost();
     absl::Status admit();
     /// Fails if the caller takes up a stream that cannot go on. Sets the service at which it goes on otherwise.
     asio::awaitable<absl::Status> continueStream();
@@ -140,6 +142,8 @@
     /// Attempts whose stream the target closed in order before it was complete.
     unsigned m_closedInOrder = 0;
     bool m_callerDisconnected = false;
+    /// The request is refused because of the load of this host, which is to cost it little.
+    bool m_refusedByHost = false;
     HttpStreamCall *m_activeCall = nullptr;
 
     EventStreamParser m_eventParser;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "clock/steadytime.h"
 #include "net/pause.h"
+#include "operations/log.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/as_tuple.hpp>
@@ -52,7 +53,8 @@
 constexpr Duration s_lingerTime = std::chrono::milliseconds(500);
 /// A caller sends its first request right after it has connected, so a connection that is younger than this is not idle.
 constexpr Duration s_firstRequestTime = std::chrono::milliseconds(500);
-constexpr std::size_t s_lingerBytes = 4096;
+constexpr std::size_t s_lingerPartBytes = 16 * 1024;
+constexpr std::size_t s_maxLingerBytes = 64 * 1024;
 /// Maximum number of bytes passed to the kernel at a time.
 constexpr std::size_t s_writePartBytes = 64 * 1024;
 /// Buffer size of the first read of a request. Most heads fit, and an idle connection does not hold more memory.
@@ -79,6 +81,12 @@
     co_await exchange.respond(status, "application/json", std::move(body));
 }
 
+bool isConnectionLost(const boost::system::error_code &error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message
+        || (error && error != beast::error::timeout && error.category() != http::make_error_code(http::error::bad_method).category());
+}
+
 }
 
 /// Waits for the caller to close its side while an answer is in progress. Shared with the pending wait, which can outlive the exchange.
@@ -86,9 +94,9 @@
     std::function<void()> callback;
 };
 
-HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, bool connectionClose, std::shared_ptr<Traffic> traffic)
+HttpExchange::HttpExchange(beast::tcp_stream &stream, const HttpRequest &request, bool connectionClose, std::shared_ptr<Traffic> traffic)
     : m_stream(stream)
-    , m_request(std::move(request))
+    , m_request(request)
     , m_traffic(std::move(traffic))
     , m_connectionClose(connectionClose)
 {
@@ -123,6 +131,16 @@
     return m_stream.get_executor();
 }
 
+asio::awaitable<bool> HttpExchange::readBody()
+{
+    if (!m_bodyReader) {
+        co_return true;
+    }
+    const bool read = co_await m_bodyReader(*this);
+    m_bodyReader = nullptr;
+    co_return read;
+}
+
 std::string HttpExchange::head(unsigned status, std::string_view contentType, const std::vector<HttpHeader> &headers) const
 {
     std::string text = absl::StrCat("HTTP/1.1 ", status, " ");
@@ -266,80 +284,138 @@
     if (error) {
         return failed(FailureKind::InvalidSetting, absl::StrCat("'", m_options.address, "' is not an IP address"));
     }
+    m_endpoint = endpoint;
     for (std::size_t index = 0; index < m_pool.size(); ++index) {
-        auto acceptor = std::make_unique<asio::ip::tcp::acceptor>(m_pool.loop(index));
-        acceptor->open(endpoint.protocol(), error);
-        acceptor->set_option(ReuseAddress(true), error);
-        if (!m_options.exclusive) {
-            acceptor->set_option(ReusePort(true), error);
-        }
-        acceptor->bind(endpoint, error);
-        if (!error) {
-            acceptor->listen(s_backlog, error);
-        }
+        auto listener = std::make_unique<Listener>(m_pool.loop(index));
+        error = listen(listener->acceptor);
         if (error) {
             return failed(FailureKind::InvalidSetting,
                           absl::StrCat("cannot listen on ", m_options.address, ":", m_options.port, ": ", error.message()));
         }
-        m_acceptors.push_back(std::move(acceptor));
+        m_listeners.push_back(std::move(listener));
     }
-    for (const auto &acceptor : m_acceptors) {
-        ++m_openAcceptors;
-        asio::co_spawn(acceptor->get_executor(), accept(*acceptor), asio::detached);
+    for (const auto &listener : m_listeners) {
+        ++m_openListeners;
+        asio::co_spawn(listener->acceptor.get_executor(), accept(*listener), asio::detached);
     }
     return absl::OkStatus();
 }
 
+boost::system::error_code HttpServer::listen(asio::ip::tcp::acceptor &acceptor) const
+{
+    boost::system::error_code error;
+    acceptor.open(m_endpoint.protocol(), error);
+    acceptor.set_option(ReuseAddress(true), error);
+    if (!m_options.exclusive) {
+        acceptor.set_option(ReusePort(true), error);
+    }
+    acceptor.bind(m_endpoint, error);
+    if (!error) {
+        acceptor.listen(s_backlog, error);
+    }
+    if (!error) {
+        acceptor.non_blocking(true, error);
+    }
+    return error;
+}
+
 void HttpServer::close()
 {
-    for (const auto &acceptor : m_acceptors) {
-        asio::post(acceptor->get_executor(), [this, &acceptor = *acceptor] {
-            acceptPending(acceptor, s_backlog);
-            if (acceptor.is_open()) {
+    for (const auto &listener : m_listeners) {
+        asio::post(listener->acceptor.get_executor(), [this, &listener = *listener] {
+            listener.remaining.reset();
+            acceptPending(listener, s_backlog);
+            if (!std::exchange(listener.closed, true)) {
                 boost::system::error_code ignored;
-                acceptor.close(ignored);
-                --m_openAcceptors;
+                listener.acceptor.close(ignored);
+                --m_openListeners;
             }
         });
     }
 }
 
-asio::awaitable<void> HttpServer::accept(asio::ip::tcp::acceptor &acceptor)
+void HttpServer::limitConnections(std::optional<std::size_t> most)
 {
+    for (const auto &listener : m_listeners) {
+        asio::dispatch(listener->acceptor.get_executor(), [this, &listener = *listener, most] {
+            limitConnections(listener, most);
+        });
+    }
+}
+
+void HttpServer::limitConnections(Listener &listener, std::optional<std::size_t> most)
+{
+    if (listener.closed) {
+        return;
+    }
+    listener.remaining = most;
+    const bool accepts = most != std::size_t(0);
     boost::system::error_code error;
-    acceptor.non_blocking(true, error);
-    while (acceptor.is_open()) {
-        auto [failure, first] = co_await acceptor.async_accept(s_tuple);
+    if (!accepts && listener.acceptor.is_open()) {
+        listener.acceptor.close(error);
+    } else if (accepts && !listener.acceptor.is_open()) {
+        error = listen(listener.acceptor);
+    }
+    if (error) {
+        logLine(
+            Severity::Error, "server.cannot_listen", {{"port", static_cast<std::int64_t>(m_options.port)}, {"detail", error.message()}});
+        listener.acceptor.close(error);
+    }
+}
+
+bool HttpServer::mayAcceptMore(Listener &listener)
+{
+    if (listener.remaining && *listener.remaining > 0 && --*listener.remaining == 0) {
+        boost::system::error_code ignored;
+        listener.acceptor.close(ignored);
+    }
+    return listener.acceptor.is_open();
+}
+
+asio::awaitable<void> HttpServer::accept(Listener &listener)
+{
+    while (!listener.closed) {
+        if (!listener.acceptor.is_open()) {
+            co_await pause(s_acceptPause);
+            continue;
+        }
+        auto [failure, first] = co_await listener.acceptor.async_accept(s_tuple);
         if (failure) {
             // The most likely cause is a lack of file descriptors. The pause gives open connections time to end.
             co_await pause(s_acceptPause);
             continue;
         }
         startSession(std::move(first));
+        if (!mayAcceptMore(listener)) {
+            continue;
+        }
         // Pending connections are accepted in batches, because the loop returns here only after it has handled everything else that is
         // ready. On a busy loop that takes tens of milliseconds. When one connection was accepted per turn, callers waited for seconds in
         // the kernel's backlog, invisible to measurements of the loop: on a host with a tenth of a core, 3,591 callers disconnected within
         // 34 seconds before their request was read.
-        acceptPending(acceptor, s_maxAcceptBatch);
+        acceptPending(listener, s_maxAcceptBatch);
     }
 }
 
-void HttpServer::acceptPending(asio::ip::tcp::acceptor &acceptor, std::size_t most)
+void HttpServer::acceptPending(Listener &listener, std::size_t most)
 {
-    for (std::size_t accepted = 0; accepted < most; ++accepted) {
+    bool more = listener.acceptor.is_open();
+    for (std::size_t accepted = 0; more && accepted < most; ++accepted) {
         boost::system::error_code error;
-        asio::ip::tcp::socket next(acceptor.get_executor());
-        acceptor.accept(next, error);
+        asio::ip::tcp::socket next(listener.acceptor.get_executor());
+        listener.acceptor.accept(next, error);
         if (error) {
             break;
         }
         startSession(std::move(next));
+        more = mayAcceptMore(listener);
     }
 }
 
 void HttpServer::startSession(asio::ip::tcp::socket socket)
 {
     ++m_connections;
+    ++m_accepted;
     count(&CallerCounts::connections);
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -429,6 +505,14 @@
     co_return !error || (cancelled && session.stream.socket().available(unavailable) > 0);
 }
 
+/// A request that is being read.
+struct HttpServer::Reading {
+    Session &session;
+    HttpLimits limits;
+    HeldBytes held;
+    http::request_parser<http::string_body> parser;
+};
+
 asio::awaitable<bool> HttpServer::serveRequest(Session &session)
 {
     const HttpLimits limits = m_options.limits ? m_options.limits() : HttpLimits{};
@@ -436,67 +520,93 @@
     if (!requestStarted) {
         co_return false;
     }
-    http::request_parser<http::string_body> parser;
+    Reading reading{.session = session, .limits = limits, .held = HeldBytes(m_options.traffic)};
+    http::request_parser<http::string_body> &parser = reading.parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
     session.stream.expires_after(limits.headerTimeout);
-    auto [error, size] = co_await http::async_read_header(session.stream, session.buffer, parser, s_tuple);
+    const auto [error, size] = co_await http::async_read_header(session.stream, session.buffer, parser, s_tuple);
+    session.stream.expires_never();
     countReceived(size);
-    const bool headRead = !error;
-    if (headRead) {
-        count(&CallerCounts::heads);
-        if (!session.hasServed) {
-            measure(&CallerCounts::firstHeadUs, &CallerCounts::longestFirstHeadUs, session.acceptedAt);
-        }
+    if (isConnectionLost(error)) {
+        count(&CallerCounts::leftInHead);
+        co_return false;
     }
-    HeldBytes held(m_options.traffic);
+    count(&CallerCounts::heads);
+    if (!session.hasServed) {
+        measure(&CallerCounts::firstHeadUs, &CallerCounts::longestFirstHeadUs, session.acceptedAt);
+    }
+    HttpExchange exchange(session.stream, parser.get(), m_keepAliveDisabled, m_options.traffic);
     // With a transfer coding that this server does not support, the end of the request is unknown and another request could be smuggled in
     // its body.
     const bool unreadable = !error && parser.get().count(http::field::transfer_encoding) > 0 && !parser.chunked();
-    if (!error && !unreadable && !parser.is_done()) {
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-            co_await asio::async_write(session.stream, asio::buffer(s_continue), s_tuple);
-        }
-        session.stream.expires_after(limits.bodyTimeout);
-        const Instant headReadAt = steadyNow();
-        // Read in parts, so that a long body counts while it arrives.
-        parser.eager(true);
-        while (!error && !parser.is_done()) {
-            std::tie(error, size) = co_await http::async_read_some(session.stream, session.buffer, parser, s_tuple);
-            countReceived(size);
-            held.add(size);
-        }
-        measure(&CallerCounts::bodyUs, &CallerCounts::longestBodyUs, headReadAt);
-    }
-    session.stream.expires_never();
-    const bool connectionLost = error == http::error::end_of_stream || error == http::error::partial_message
-        || (error && error != beast::error::timeout && error.category() != http::make_error_code(http::error::bad_method).category());
-    if (connectionLost) {
-        count(headRead ? &CallerCounts::leftInBody : &CallerCounts::leftInHead);
-        co_return false;
-    }
-    HttpExchange exchange(session.stream, parser.release(), m_keepAliveDisabled, m_options.traffic);
     if (error || unreadable) {
         exchange.setConnectionClose();
         co_await respondUnreadable(exchange, error);
         co_return false;
     }
+    if (!parser.is_done()) {
+        exchange.setBodyReader([this, &reading](HttpExchange &read) {
+            return readBody(reading, read);
+        });
+    }
+    if (!m_options.handlerReadsBodies) {
+        const bool read = co_await exchange.readBody();
+        if (!read) {
+            co_return false;
+        }
+    }
     co_await m_handler(exchange);
     count(exchange.answered() ? &CallerCounts::answered : &CallerCounts::leftUnanswered);
     session.hasServed = true;
     co_return exchange.keepAlive();
 }
 
+asio::awaitable<bool> HttpServer::readBody(Reading &reading, HttpExchange &exchange)
+{
+    Session &session = reading.session;
+    http::request_parser<http::string_body> &parser = reading.parser;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        co_await asio::async_write(session.stream, asio::buffer(s_continue), s_tuple);
+    }
+    session.stream.expires_after(reading.limits.bodyTimeout);
+    // Read in parts, so that a long body counts while it arrives.
+    parser.eager(true);
+    const Instant headReadAt = steadyNow();
+    boost::system::error_code error;
+    std::size_t size = 0;
+    while (!error && !parser.is_done()) {
+        std::tie(error, size) = co_await http::async_read_some(session.stream, session.buffer, parser, s_tuple);
+        countReceived(size);
+        reading.held.add(size);
+    }
+    measure(&CallerCounts::bodyUs, &CallerCounts::longestBodyUs, headReadAt);
+    session.stream.expires_never();
+    if (!error) {
+        co_return true;
+    }
+    exchange.setConnectionClose();
+    if (isConnectionLost(error)) {
+        count(&CallerCounts::leftInBody);
+    } else {
+        co_await respondUnreadable(exchange, error);
+    }
+    co_return false;
+}
+
 asio::awaitable<void> HttpServer::drainBeforeClose(Session &session)
 {
     boost::system::error_code ignored;
     session.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     session.stream.expires_after(s_lingerTime);
     bool open = session.stream.socket().is_open();
+    std::size_t discarded = 0;
     while (open) {
         session.buffer.clear();
-        const auto [error, size] = co_await session.stream.async_read_some(session.buffer.prepare(s_lingerBytes), s_tuple);
-        open = !error;
+        const auto [error, size] = co_await session.stream.async_read_some(session.buffer.prepare(s_lingerPartBytes), s_tuple);
+        countReceived(size);
+        discarded += size;
+        open = !error && discarded < s_maxLingerBytes;
     }
 }
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -42,17 +42,39 @@
 class HttpExchange
 {
 public:
-    /// With connectionClose, the connection closes after the answer, and the answer has a `Connection: close` header. The bytes of the
-    /// answer are counted in `traffic`, if any.
-    HttpExchange(beast::tcp_stream &stream, HttpRequest request, bool connectionClose = false, std::shared_ptr<Traffic> traffic = nullptr);
+    /// Reads the body of the request. Returns false when that fails.
+    using BodyReader = std::function<asio::awaitable<bool>(HttpExchange &)>;
+
+    /// The request must outlive the exchange. With connectionClose, the connection closes after the answer, and the answer has a
+    /// `Connection: close` header. The bytes of the answer are counted in `traffic`, if any.
+    HttpExchange(beast::tcp_stream &stream,
+                 const HttpRequest &request,
+                 bool connectionClose = false,
+                 std::shared_ptr<Traffic> traffic = nullptr);
     ~HttpExchange();
 
-    /// Returns the request.
+    /// Returns the request. Its body is empty until it has been read.
     const HttpRequest &request() const
     {
         return m_request;
     }
 
+    /// Sets the function by which the handler reads the body. An answer that is given before closes the connection.
+    void setBodyReader(BodyReader reader)
+    {
+        m_bodyReader = std::move(reader);
+    }
+
+    /// Reads the body unless it has been read. Returns false when the connection has ended, or when the caller was told that its request
+    /// is too large, too slow or not valid.
+    asio::awaitable<bool> readBody();
+
+    /// Returns false while the body has not been read.
+    bool bodyRead() const
+    {
+        return !m_bodyReader;
+    }
+
     /// Returns the path without its query.
     std::string_view path() const;
 
@@ -107,7 +129,7 @@
     /// Returns true when the connection can serve another request.
     bool keepAlive() const
     {
-        return m_open && !m_connectionClose && m_request.keep_alive();
+        return m_open && !m_connectionClose && bodyRead() && m_request.keep_alive();
     }
 
     /// Closes the connection after this answer. The answer has a `Connection: close` header if its head was not sent yet.
@@ -133,7 +155,8 @@
     std::string head(unsigned status, std::string_view contentType, const std::vector<HttpHeader> &headers) const;
 
     beast::tcp_stream &m_stream;
-    HttpRequest m_request;
+    const HttpRequest &m_request;
+    BodyReader m_bodyReader;
     std::shared_ptr<DisconnectWatch> m_watch;
     std::shared_ptr<Traffic> m_traffic;
     bool m_connectionClose = false;
@@ -175,6 +198,9 @@
         std::shared_ptr<Traffic> traffic;
         /// Counts how far requests get. Empty: they are not counted.
         std::shared_ptr<CallerCounts> counts;
+        /// Calls the handler before the body of a request is read, so that it can refuse a request at the cost of its head. It reads the
+        /// body by HttpExchange::readBody().
+        bool handlerReadsBodies = false;
     };
 
     HttpServer(WorkerPool &pool, Options options, HttpHandler handler);
@@ -186,10 +212,20 @@
     /// with the requests that may have been sent on them.
     void close();
 
-    /// Returns true until close() has taken effect on every event loop.
+    /// Accepts at most this many further connections on each event loop; none: any number. The system refuses the others, which costs this
+    /// host next to nothing, and resets those that wait. Without effect after close().
+    void limitConnections(std::optional<std::size_t> most);
+
+    /// The number of connections accepted so far.
+    std::uint64_t accepted() const
+    {
+        return m_accepted;
+    }
+
+    /// Returns true until close() has taken effect on every event loop, also while new connections are refused.
     bool listening() const
     {
-        return m_openAcceptors > 0;
+        return m_openListeners > 0;
     }
 
     /// Sets whether connections close after the next answer. Applies to requests that are completely received from now on. Used while the
@@ -210,28 +246,49 @@
 
 private:
     struct Session;
+    struct Reading;
+
+    struct Listener {
+        explicit Listener(asio::io_context &loop)
+            : acceptor(loop)
+        {
+        }
+
+        asio::ip::tcp::acceptor acceptor;
+        /// Further connections that may be accepted; none: any number.
+        std::optional<std::size_t> remaining;
+        bool closed = false;
+    };
 
-    asio::awaitable<void> accept(asio::ip::tcp::acceptor &acceptor);
+    /// Binds and listens.
+    boost::system::error_code listen(asio::ip::tcp::acceptor &acceptor) const;
+    asio::awaitable<void> accept(Listener &listener);
+    void limitConnections(Listener &listener, std::optional<std::size_t> most);
+    /// Counts an accepted connection. Returns whether further ones may be accepted.
+    bool mayAcceptMore(Listener &listener);
     /// Closes the idle connections of one event loop. Called on that loop.
     void closeIdleConnectionsOf(const asio::any_io_executor &executor);
-    void acceptPending(asio::ip::tcp::acceptor &acceptor, std::size_t most);
+    void acceptPending(Listener &listener, std::size_t most);
     void startSession(asio::ip::tcp::socket socket);
     asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket);
     asio::awaitable<bool> serveRequest(Session &session);
     asio::awaitable<bool> awaitRequest(Session &session, const HttpLimits &limits);
-    void countReceived(std::size_t bytes);
+    asio::awaitable<bool> readBody(Reading &reading, HttpExchange &exchange);
     void count(std::atomic<std::uint64_t> CallerCounts::*number);
     /// Adds the time since an event to a total, and to the longest.
     void measure(std::atomic<std::uint64_t> CallerCounts::*total, std::atomic<std::uint64_t> CallerCounts::*longest, Instant since);
-    static asio::awaitable<void> drainBeforeClose(Session &session);
+    void countReceived(std::size_t bytes);
+    asio::awaitable<void> drainBeforeClose(Session &session);
 
     WorkerPool &m_pool;
     Options m_options;
     HttpHandler m_handler;
-    std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> m_acceptors;
+    asio::ip::tcp::endpoint m_endpoint;
+    std::vector<std::unique_ptr<Listener>> m_listeners;
     std::atomic<bool> m_keepAliveDisabled = false;
-    std::atomic<std::size_t> m_openAcceptors = 0;
+    std::atomic<std::size_t> m_openListeners = 0;
     std::atomic<std::size_t> m_connections = 0;
+    std::atomic<std::uint64_t> m_accepted = 0;
     /// Sessions that wait for the first byte of a request. Guarded by m_idleMutex, under which no other lock is taken.
     std::mutex m_idleMutex;
     std::set<Session *> m_idle;
--- a/src/overload/hostload.cpp
+++ b/src/overload/hostload.cpp
@@ -86,7 +86,7 @@
         const auto held = static_cast<double>(std::max<std::int64_t>(0, sample.held));
         set(HostMeasure::Memory, held / (m_options.memoryMb * s_bytesPerMegabyte * s_usableMemoryShare));
     }
-    m_fullSince = pressure() >= s_fullPressure ? std::optional(m_fullSince.value_or(now)) : std::nullopt;
+    m_fullSince = requestPressure() >= s_fullPressure ? std::optional(m_fullSince.value_or(now)) : std::nullopt;
 }
 
 void HostLoad::recordDelay(Duration delay, Instant now)
@@ -137,6 +137,16 @@
     return std::ranges::max(m_pressures);
 }
 
+double HostLoad::requestPressure() const
+{
+    double highest = 0;
+    for (std::size_t index = 0; index < s_hostMeasures; ++index) {
+        const bool relieved = static_cast<HostMeasure>(index) != HostMeasure::LinkIn;
+        highest = std::max(highest, relieved ? m_pressures.at(index) : 0);
+    }
+    return highest;
+}
+
 HostMeasure HostLoad::decisiveMeasure() const
 {
     return static_cast<HostMeasure>(std::ranges::max_element(m_pressures) - m_pressures.begin());
--- a/src/overload/hostload.h
+++ b/src/overload/hostload.h
@@ -77,6 +77,10 @@
     /// The pressure by the measure that shows most.
     double pressure() const;
 
+    /// The pressure by the measures that refusing requests relieves: all but what arrives on the link, as a request has arrived before it
+    /// is refused.
+    double requestPressure() const;
+
     double pressure(HostMeasure measure) const
     {
         return m_pressures[static_cast<std::size_t>(measure)];
--- a/src/tests/entryhosttest.cpp
+++ b/src/tests/entryhosttest.cpp
@@ -1,4 +1,5 @@
 #include "gateway/loadshedder.h"
+#include "overload/connectiongate.h"
 #include "overload/hostload.h"
 #include "overload/rotation.h"
 #include "routing/stablehash.h"
@@ -58,8 +59,9 @@
             waiting.pop_front();
             const bool refused = load.refusesAsFull(s_objective, now)
                 || shedder.shouldRefuse(++requests, "service", {.rank = outcome.rank, .ranks = s_ranks}, now);
-            credit -= refused ? s_refusalCost : 1;
+            credit -= refused ? refusalCost : 1;
             outcome.answered = !refused;
+            answered += refused ? 0 : 1;
             outcome.ended = now;
             outcomes.push_back(outcome);
         }
@@ -74,14 +76,19 @@
     Rotation::Update measure(Instant now)
     {
         load.record({.delay = delay(now)}, now);
-        shedder.recordPressure(load.pressure(), now);
+        shedder.recordPressure(load.requestPressure(), now);
+        connectionLimit = gate.update({.served = answered, .refusedShare = shedder.refusedShare()}, now);
         return rotation.update(load.pressure(), now);
     }
 
     HostLoad load;
     LoadShedder shedder;
+    ConnectionGate gate;
+    std::optional<std::size_t> connectionLimit;
+    std::uint64_t answered = 0;
     Rotation rotation;
     double answersPerSecond = 0;
+    double refusalCost = s_refusalCost;
     std::deque<Outcome> waiting;
     double credit = 0;
     std::uint64_t requests = 0;
@@ -156,6 +163,12 @@
                 for (due[caller] += requestsPerSecond[caller] * seconds(s_step); due[caller] >= 1; due[caller] -= 1) {
                     Host &host = hostFor(caller);
                     const std::size_t rank = ++sent % 3 == 0 ? 0 : 1;
+                    if (connectsForEachRequest && host.connectionLimit == std::size_t(0)) {
+                        continue;
+                    }
+                    if (host.connectionLimit) {
+                        --*host.connectionLimit;
+                    }
                     host.waiting.push_back({.arrived = now, .rank = rank, .host = static_cast<std::size_t>(&host - hosts.data())});
                 }
             }
@@ -198,6 +211,8 @@
     std::vector<Host> hosts;
     /// Whether callers of the same rate send their requests at different times.
     bool spreadsCallers = false;
+    /// Whether the system may refuse a request's connection.
+    bool connectsForEachRequest = false;
     bool prefersOneHost = false;
     std::size_t preferredHost = 2;
     std::vector<Outcome> outcomes;
@@ -281,6 +296,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(TenfoldLoadTest)
+
+// Guards against a host that is busy with refusing: ten times as many requests arrive as it can answer, and each refusal after the head was
+// read costs a fifth of an answer.
+BOOST_AUTO_TEST_CASE(aHostAnswersAtTenTimesItsLoad)
+{
+    constexpr double answersPerSecond = 120;
+    for (const double factor : {2.0, 5.0, 10.0}) {
+        Domain domain({answersPerSecond});
+        domain.hosts.front().refusalCost = 0.2;
+        domain.connectsForEachRequest = true;
+        const Instant begun = domain.now;
+        constexpr Duration time = std::chrono::seconds(20);
+        domain.run(time, {factor * answersPerSecond});
+        const double served = domain.servedShare(begun, std::chrono::seconds(2), time) * static_cast<double>(domain.outcomes.size());
+        const double answerable = answersPerSecond * seconds(time);
+        BOOST_TEST_MESSAGE("load " << factor << ": answers " << served / answerable << " of what the host can");
+        // Half of what it can do, or all that is asked if that is less.
+        BOOST_TEST(served >= 0.5 * answerable, "load " << factor << ": " << served << " of " << answerable);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(PreferredHostTest)
 
 // Guards against callers that are refused while a load balancer hands most new connections to one host of those that are in, for some
--- a/src/tests/gatewayfixture.cpp
+++ b/src/tests/gatewayfixture.cpp
@@ -282,6 +282,7 @@
 {
     HttpServer::Options options{.address = ownAddress(), .port = s_port, .exclusive = true};
     options.traffic = m_gateway.traffic();
+    options.handlerReadsBodies = true;
     return options;
 }
 
