Count what hosts carry when they leave the rotation, and let idle ones return for full ones

What callers saw: while the largest team's host moves from one small host to the next, a full host is kept in because three are out, though two of these have been idle since their callers were moved; its callers are told to come back in 50 ms and meet the same host. Cause: Rotation counted hosts, whatever they carry, and kept a host out for its whole period whatever became of the others. Change: notices state capacity (cores) and whether the host is full. A host leaves while less than a third of the domain's capacity and at most half of its hosts are out; an idle one returns for a full one. A caller that would come back to a host that refuses most is told the time that the balancer takes to move callers. Tried and not kept: handing a whole domain over to its neighbours, with and without small hosts making way.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 /// Minimum sent to callers of an overloaded router, whose next attempt then reaches another router or is most likely admitted.
 constexpr Duration s_minRedirectDelay = std::chrono::milliseconds(50);
 constexpr double s_percent = 100;
+constexpr double s_mostRefused = 0.5;
 constexpr Duration s_callerLogInterval = std::chrono::seconds(1);
 /// The pressures are exported twice a second.
 constexpr unsigned s_measurementsPerExport = 10;
@@ -311,8 +312,12 @@
     if (!m_options.measuresHostLoad) {
         return std::max(s_minRedirectDelay, m_shedder.timeUntilRedirect(now).value_or(Duration::zero()));
     }
-    const std::optional<Duration> outFor = m_rotation.outFor(now);
-    return std::max(s_minRedirectDelay, outFor ? LoadShedder::s_rotationTime - *outFor : Duration::zero());
+    const Duration leftFor = m_rotation.outFor(now).value_or(Duration::zero());
+    if (leftFor > Duration::zero() && leftFor < LoadShedder::s_rotationTime) {
+        return std::max(s_minRedirectDelay, LoadShedder::s_rotationTime - leftFor);
+    }
+    // The caller comes back to this host, where most requests would be refused again until callers have been moved.
+    return m_shedder.refusedShare() < s_mostRefused ? s_minRedirectDelay : LoadShedder::s_rotationTime;
 }
 
 std::shared_ptr<HttpClient> Gateway::clientFor(const Placement &placement)
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -315,6 +315,7 @@
         options.routers = routerCount();
         options.chooser.self = addressText(m_options.link);
         options.rotation.self = addressText(m_options.link);
+        options.rotation.capacity = options.hostLoad.cores > 0 ? options.hostLoad.cores : 1;
         return options;
     }
 
--- a/src/gateway/rotationexchange.h
+++ b/src/gateway/rotationexchange.h
@@ -9,8 +9,8 @@
 
 namespace bamboohold {
 
-/// Exchanges with the other routers of the failure domain which of them are out of rotation: the runtime around Rotation. The link and the
-/// rotation must outlive this object.
+/// Exchanges with the other routers of the failure domain which of them are out of rotation and what their hosts can carry: the runtime
+/// around Rotation. The link and the rotation must outlive this object.
 ///
 /// The routers of a domain learn of each other from the failure domain in the notices that each router sends to all others when a
 /// configuration comes into force. A router that hears of one that it did not know answers with its own state.
--- a/src/overload/hostload.h
+++ b/src/overload/hostload.h
@@ -40,6 +40,8 @@
         /// Speed of the host's link in Mbit/s in each direction, and its memory in MB. 0 or an invalid number: not limited.
         double linkMbps = 0;
         double memoryMb = 0;
+        /// The processor time that the host has in cores, by which hosts compare what they can carry. 0: not stated.
+        double cores = 0;
     };
 
     struct Sample {
--- a/src/overload/rotation.cpp
+++ b/src/overload/rotation.cpp
@@ -5,6 +5,16 @@
 
 namespace bamboohold {
 
+namespace {
+
+/// A host leaves once less than one part in this many of what the domain can carry is out.
+constexpr double s_partsOfCapacity = 3;
+constexpr double s_capacityTolerance = 1e-9;
+/// A host returns for a full one no sooner than this, so that the balancer has moved its callers.
+constexpr Duration s_minTimeOut = std::chrono::seconds(3);
+
+}
+
 Rotation::Rotation()
     : Rotation(Options{})
 {
@@ -17,38 +27,82 @@
 
 Rotation::Update Rotation::update(double pressure, Instant now)
 {
+    const bool fullBefore = m_full;
     if (pressure < m_options.leavePressure) {
         m_fullSince.reset();
         m_keptIn = false;
     } else {
         m_fullSince = m_fullSince.value_or(now);
     }
+    m_full = m_fullSince && now - *m_fullSince >= m_options.fullTime;
     if (m_out && leftTooMany(now)) {
         m_out = false;
         m_keptIn = true;
         return {.change = Change::KeptIn, .notify = true};
     }
+    const bool due = now - m_notifiedAt >= m_options.noticeInterval;
     if (m_out) {
-        if (now - m_leftAt >= m_period && pressure < m_options.returnPressure) {
+        const bool periodOver = now - m_leftAt >= m_period && pressure < m_options.returnPressure;
+        if (periodOver || returnsForFullOne(pressure, now)) {
             m_out = false;
             m_joinedAt = now;
             return {.change = Change::Joined, .notify = true};
         }
-        const bool due = now - m_notifiedAt >= m_options.noticeInterval;
         m_notifiedAt = due ? now : m_notifiedAt;
         return {.notify = due};
     }
-    if (!m_fullSince || now - *m_fullSince < m_options.fullTime) {
+    if (!m_full) {
         return {};
     }
-    if (othersOut(now) >= mostOut()) {
+    if (!mayLeave(now)) {
         const bool reported = std::exchange(m_keptIn, true);
-        return {.change = reported ? Change::None : Change::KeptIn};
+        const bool notify = !fullBefore || due;
+        m_notifiedAt = notify ? now : m_notifiedAt;
+        return {.change = reported ? Change::None : Change::KeptIn, .notify = notify};
     }
     leave(now);
     return {.change = Change::Left, .notify = true};
 }
 
+bool Rotation::returnsForFullOne(double pressure, Instant now) const
+{
+    if (pressure >= m_options.returnPressure || now - m_leftAt < s_minTimeOut) {
+        return false;
+    }
+    bool fullOneIn = false;
+    double outCapacity = m_options.capacity;
+    for (const auto &[router, other] : m_others) {
+        const bool out = now < other.outUntil;
+        const bool full = now < other.fullUntil;
+        fullOneIn = fullOneIn || (full && !out);
+        outCapacity += out ? other.capacity : 0;
+        if (out && !full && router < m_options.self) {
+            return false;
+        }
+    }
+    // If another place is free, the full one leaves without it.
+    return fullOneIn && !mayLeaveBeside(othersOut(now) + 1, outCapacity);
+}
+
+bool Rotation::mayLeaveBeside(std::size_t others, double othersCapacity) const
+{
+    double all = m_options.capacity;
+    for (const auto &[router, other] : m_others) {
+        all += other.capacity;
+    }
+    // The tolerance is for sums of capacities that are not whole numbers.
+    return others < mostOut() && othersCapacity * s_partsOfCapacity < all - s_capacityTolerance * all;
+}
+
+bool Rotation::mayLeave(Instant now) const
+{
+    double out = 0;
+    for (const auto &[router, other] : m_others) {
+        out += now < other.outUntil ? other.capacity : 0;
+    }
+    return mayLeaveBeside(othersOut(now), out);
+}
+
 void Rotation::leave(Instant now)
 {
     const bool recent = m_joinedAt && now - *m_joinedAt < m_options.maxPeriod;
@@ -58,8 +112,8 @@
     m_leftAt = now;
     m_notifiedAt = now;
     m_outBefore.clear();
-    for (const auto &[router, until] : m_others) {
-        if (now < until) {
+    for (const auto &[router, other] : m_others) {
+        if (now < other.outUntil) {
             m_outBefore.insert(router);
         }
     }
@@ -70,17 +124,33 @@
     if (now - m_leftAt >= m_options.settlingTime) {
         return false;
     }
-    const auto before = std::ranges::count_if(m_others, [this, now](const auto &other) {
-        return now < other.second && (other.first < m_options.self || m_outBefore.contains(other.first));
-    });
-    return static_cast<std::size_t>(before) >= mostOut();
+    std::size_t before = 0;
+    double capacity = 0;
+    for (const auto &[router, other] : m_others) {
+        if (now < other.outUntil && (router < m_options.self || m_outBefore.contains(router))) {
+            ++before;
+            capacity += other.capacity;
+        }
+    }
+    return !mayLeaveBeside(before, capacity);
 }
 
-void Rotation::recordNotice(const std::string &router, bool out, Duration remaining, Instant now)
+void Rotation::recordNotice(const std::string &router, const Notice &notice, Instant now)
 {
     // A host stays out beyond its period while its pressure is high, and says so in each notice.
-    const Duration valid = std::min(std::max(remaining, 2 * m_options.noticeInterval), m_options.noticeLifetime);
-    m_others[router] = out ? now + valid : now;
+    const Duration valid = std::min(std::max(notice.remaining, 2 * m_options.noticeInterval), m_options.noticeLifetime);
+    m_others[router] = {.outUntil = notice.out ? now + valid : now,
+                        .fullUntil = notice.full ? now + m_options.noticeLifetime : now,
+                        .capacity = notice.capacity > 0 ? notice.capacity : 1};
+}
+
+std::vector<std::string> Rotation::others() const
+{
+    std::vector<std::string> routers;
+    for (const auto &[router, other] : m_others) {
+        routers.push_back(router);
+    }
+    return routers;
 }
 
 void Rotation::removeRouter(const std::string &router)
@@ -101,14 +171,13 @@
 std::size_t Rotation::othersOut(Instant now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_others, [now](const auto &other) {
-        return now < other.second;
+        return now < other.second.outUntil;
     }));
 }
 
 std::size_t Rotation::mostOut() const
 {
-    constexpr std::size_t part = 3;
-    return (m_others.size() + 1 + part - 1) / part;
+    return std::max<std::size_t>(1, (m_others.size() + 1) / 2);
 }
 
 }
--- a/src/tests/rotationtest.cpp
+++ b/src/tests/rotationtest.cpp
@@ -60,6 +60,7 @@
         bool out = false;
         Duration remaining{};
         Instant at{};
+        bool full = false;
     };
 
     void deliver()
@@ -68,7 +69,9 @@
             const Notice &notice = notices.front();
             for (std::size_t index = 0; index < routers.size(); ++index) {
                 if (index != notice.from) {
-                    routers[index].recordNotice(absl::StrCat("router-", 10 + notice.from), notice.out, notice.remaining, now);
+                    routers[index].recordNotice(absl::StrCat("router-", 10 + notice.from),
+                                                {.out = notice.out, .remaining = notice.remaining, .full = notice.full},
+                                                now);
                 }
             }
         }
@@ -135,6 +138,62 @@
     BOOST_TEST(!rotation.out());
 }
 
+// Guards against counting hosts instead of what they carry: beside a large host that is out, a third of the domain, no other may leave, and
+// of small ones more than a third of the hosts may, but never more than half.
+BOOST_AUTO_TEST_CASE(whatHostsCarryCounts)
+{
+    const Instant start{std::chrono::seconds(100)};
+    const auto leaves = [start](const std::vector<double> &out, const std::vector<double> &in) {
+        Rotation rotation({.self = "router-a", .capacity = 1});
+        for (std::size_t index = 0; index < out.size() + in.size(); ++index) {
+            const bool isOut = index < out.size();
+            rotation.recordNotice(
+                absl::StrCat("router-b", index),
+                {.out = isOut, .remaining = std::chrono::seconds(8), .capacity = isOut ? out[index] : in[index - out.size()]},
+                start);
+        }
+        rotation.update(1.5, start);
+        rotation.update(1.5, start + std::chrono::milliseconds(300));
+        return rotation.out();
+    };
+    BOOST_TEST(leaves({1}, {5, 5, 1, 1, 1}));
+    BOOST_TEST(leaves({1, 1}, {5, 5, 1, 1}));
+    BOOST_TEST(!leaves({1, 1, 1}, {5, 5, 1}));
+    BOOST_TEST(!leaves({5}, {5, 1, 1, 1, 1}));
+    BOOST_TEST(leaves({1, 1, 1, 1, 1}, {9, 9, 9, 1, 1, 1}));
+    BOOST_TEST(!leaves({1, 1, 1, 1, 1, 1}, {9, 9, 9, 1, 1}));
+}
+
+// Guards against a full host that is kept in while one that is out has been idle since its callers were moved.
+BOOST_AUTO_TEST_CASE(anIdleHostReturnsForAFullOne)
+{
+    Domain domain(7);
+    domain.run(std::chrono::seconds(1), 3, 1.5);
+    BOOST_TEST(domain.out() == 3U);
+    // The callers of the first three have moved to the fourth.
+    const auto moved = [&domain](Duration time) {
+        for (const Instant end = domain.now + time; domain.now < end;) {
+            domain.now += s_tick;
+            domain.deliver();
+            for (std::size_t index = 0; index < domain.routers.size(); ++index) {
+                Rotation &router = domain.routers[index];
+                if (router.update(index == 3 ? 1.5 : 0, domain.now).notify) {
+                    domain.notices.push_back({.from = index,
+                                              .out = router.out(),
+                                              .remaining = router.remaining(domain.now),
+                                              .at = domain.now,
+                                              .full = router.full()});
+                }
+            }
+        }
+    };
+    moved(std::chrono::seconds(1));
+    BOOST_TEST(!domain.routers[3].out());
+    moved(std::chrono::seconds(3));
+    BOOST_TEST(domain.routers[3].out());
+    BOOST_TEST(domain.out() == 3U);
+}
+
 // Guards against a third of the domain that is lost for good: once a router that is out has died, another may leave.
 BOOST_AUTO_TEST_CASE(placeOfADeadRouterIsFreeAgain)
 {
