Wait for loans as long as they take, and blame no lender for a full link

Cause: a host whose link is full gets answers to its loan requests after 120 ms and more. What it borrowed lasted for 250 ms of demand, less than the next loan took. Change: a borrower waits by the time that answers have taken (0.12 to 1 s), asks a lender again whose answer came late, and asks for twice the time that loans take (750 ms at most); requests wait up to twice that time within the bound for a slow store.

--- a/src/budget/holdingpolicy.h
+++ b/src/budget/holdingpolicy.h
@@ -86,6 +86,9 @@
     /// this saves most of the loan calls, each of which takes about a tenth of a millisecond of processor time on both sides, and all
     /// borrowers together hold no more than this.
     Duration unassignedBorrowAhead = std::chrono::milliseconds(250);
+    /// Both ask for twice the time that loans take, if that is longer, so that requests do not wait for every second loan; and this long at
+    /// most counts, as what a borrower holds is missing elsewhere.
+    Duration maxLoanLatency = std::chrono::milliseconds(750);
     /// A router that is not an assigned holder returns borrowed tokens after this long without a request.
     Duration loanIdleTimeout = std::chrono::milliseconds(600);
 };
--- a/src/budget/teamholding.cpp
+++ b/src/budget/teamholding.cpp
@@ -208,14 +208,16 @@
     m_borrowed += tokens - own;
 }
 
-Tokens TeamHolding::tokensToBorrow(Instant now) const
+Tokens TeamHolding::tokensToBorrow(Instant now, Duration loanLatency) const
 {
+    const Duration latency = std::min(loanLatency, m_options.policy.maxLoanLatency);
     if (m_assigned) {
-        return m_waiting + static_cast<Tokens>(demand(now) * seconds(m_options.policy.borrowAhead)) - m_borrowed;
+        return m_waiting + static_cast<Tokens>(demand(now) * seconds(std::max(m_options.policy.borrowAhead, 2 * latency))) - m_borrowed;
     }
     // Rounded down to whole requests: a team that sends a request only now and then has no next one to borrow ahead for.
     const Tokens use = std::max<Tokens>(1, typicalUse());
-    const Tokens requests = static_cast<Tokens>(demand(now) * seconds(m_options.policy.unassignedBorrowAhead)) / use;
+    const Duration ahead = std::max(m_options.policy.unassignedBorrowAhead, 2 * latency);
+    const Tokens requests = static_cast<Tokens>(demand(now) * seconds(ahead)) / use;
     return m_waiting + requests * use - m_borrowed;
 }
 
--- a/src/budget/teamholding.h
+++ b/src/budget/teamholding.h
@@ -141,8 +141,8 @@
         return m_demand.averageBound();
     }
 
-    /// Number of tokens to borrow for all requests that wait.
-    Tokens tokensToBorrow(Instant now) const;
+    /// Number of tokens to borrow for all requests that wait, and for those that arrive while loans take this long.
+    Tokens tokensToBorrow(Instant now, Duration loanLatency = {}) const;
 
     /// The commitment of the router's next checkpoint for this team; none when there is nothing to commit. `storeLatency` is the time that
     /// a checkpoint's write currently takes.
--- a/src/budget/teamledger.cpp
+++ b/src/budget/teamledger.cpp
@@ -20,6 +20,7 @@
 constexpr Duration s_commitLimitPoll = std::chrono::milliseconds(50);
 /// A request waits for this multiple of the store's average latency.
 constexpr int s_waitLatencyMultiple = 4;
+constexpr int s_waitLoanMultiple = 2;
 /// The newest latency has a weight of one in this many in the average.
 constexpr int s_latencyWeight = 4;
 /// Added to the expected wait, which is known only in steps.
@@ -117,7 +118,8 @@
     std::variant<Reservation, HoldingRefusal> result = account.holding.reserve(bound, begun);
     if (std::holds_alternative<HoldingRefusal>(result)) {
         // Enough for two calls, a draw and a checkpoint, and for some variation.
-        const Duration patience = std::clamp(s_waitLatencyMultiple * m_storeLatency, m_options.maxWait, m_options.maxSlowWait);
+        const Duration latency = std::max(s_waitLatencyMultiple * m_storeLatency, s_waitLoanMultiple * m_loanLatency);
+        const Duration patience = std::clamp(latency, m_options.maxWait, m_options.maxSlowWait);
         const WaitOptions waitOptions{.bound = bound, .timeout = patience};
         result = co_await waitForTokens(account, team, waitOptions);
     }
@@ -264,8 +266,10 @@
 boost::asio::awaitable<void> TeamLedger::borrow(Entry &account, std::string team)
 {
     account.borrowing = true;
-    const Tokens wanted = account.holding.tokensToBorrow(steadyNow());
+    const Instant begun = steadyNow();
+    const Tokens wanted = account.holding.tokensToBorrow(begun, m_loanLatency);
     const Loan loan = co_await m_borrow(team, wanted, account.lenders);
+    m_loanLatency += (steadyNow() - begun - m_loanLatency) / s_latencyWeight;
     account.holding.addBorrowed(loan.tokens);
     account.borrowing = false;
     if (loan.tokens < wanted) {
--- a/src/budget/teamledger.h
+++ b/src/budget/teamledger.h
@@ -203,6 +203,8 @@
     bool m_checkpointStoreReachable = true;
     /// Average time the store takes for a checkpoint.
     Duration m_storeLatency{};
+    /// Average time that loans take.
+    Duration m_loanLatency{};
     std::optional<Instant> m_lastCheckpoint;
     /// When the checkpoint in flight was first sent: while answers are lost, the next one takes effect only after all repeats.
     Instant m_checkpointFirstSent{};
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -40,8 +40,10 @@
     struct Options {
         /// Timeout of a call to a peer; peers answer within a few milliseconds.
         Duration peerTimeout = std::chrono::milliseconds(120);
-        /// How long the answer to a loan request is accepted; after `peerTimeout` the borrowing request no longer waits for it.
+        /// How long the answer to a loan request is accepted, and how long a borrower waits for it, by the time that answers have taken: on a
+        /// host whose link is full all lenders seem slow.
         Duration maxLoanWait = std::chrono::seconds(3);
+        AdaptiveTimeout::Options loanTimeout{.minTimeout = std::chrono::milliseconds(120), .maxTimeout = std::chrono::seconds(1)};
         /// Timeout for a piece of a configuration, which may be queued behind answers to callers on a slow link.
         AdaptiveTimeout::Options pieceTimeout{.minTimeout = std::chrono::milliseconds(800), .maxTimeout = std::chrono::seconds(3)};
         /// Interval at which a router without a configuration asks its peers for one.
@@ -72,6 +74,7 @@
         , m_acceptDocument(std::move(acceptDocument))
         , m_fetchScheduler({.self = link.self()})
         , m_pieceTimeout(m_options.pieceTimeout)
+        , m_loanTimeout(m_options.loanTimeout)
         , m_settlement(link, ledger, gateway.metrics())
     {
         m_link.setCallHandler(
@@ -261,7 +264,7 @@
             }
             const auto loan = std::make_shared<PendingLoan>(m_link.executor(), team, asked - total.tokens);
             asio::co_spawn(m_link.executor(), requestLoan(peer, loan), asio::detached);
-            co_await loan->answered.wait(m_options.peerTimeout);
+            co_await loan->answered.wait(m_loanTimeout.current());
             loan->awaited = false;
             if (!loan->answer) {
                 logLine(Severity::Warning, "budget.loan_late", {{"team", team}, {"peer", peer}, {"asked", loan->asked}});
@@ -282,7 +285,12 @@
         call.mutable_loan()->set_team(loan->team);
         call.mutable_loan()->set_tokens(loan->asked);
         const std::uint64_t number = m_settlement.begin(*call.mutable_loan());
+        const Instant startedAt = steadyNow();
         const absl::StatusOr<wire::PeerAnswer> answer = co_await m_link.sendCall(peer, std::move(call), m_options.maxLoanWait);
+        if (answer.ok()) {
+            m_loanTimeout.recordAnswer(steadyNow() - startedAt);
+            m_backoffUntil.erase(peer);
+        }
         if (!answer.ok() || !m_settlement.accept(number, peer, *answer)) {
             m_settlement.declareVoid(number, peer, loan->team, loan->asked);
             co_return;
@@ -419,6 +427,7 @@
     PlanFetchScheduler m_fetchScheduler;
     PlanSource m_source;
     AdaptiveTimeout m_pieceTimeout;
+    AdaptiveTimeout m_loanTimeout;
     LoanSettlement m_settlement;
     bool m_fetchRunning = false;
 };
--- a/src/tests/teamholdingtest.cpp
+++ b/src/tests/teamholdingtest.cpp
@@ -62,6 +62,26 @@
     }));
 }
 
+// Guards against a team whose requests wait for every second loan, and are refused, because loans take longer than what is borrowed lasts.
+BOOST_AUTO_TEST_CASE(loansLastForTheTimeThatTheyTake)
+{
+    Fleet fleet;
+    Process &process = fleet.process(0);
+    process.holding.servingSince(process.now);
+    process.holding.setAssigned(false, 1);
+    constexpr Tokens bound = 100;
+    constexpr int requestsPerSecond = 50;
+    for (int request = 0; request < 10 * requestsPerSecond; ++request) {
+        process.holding.recordDemand(bound, process.now);
+        fleet.pass(ms(1000 / requestsPerSecond), std::nullopt);
+    }
+    const Tokens usual = process.holding.tokensToBorrow(process.now);
+    BOOST_TEST(process.holding.tokensToBorrow(process.now, ms(20)) == usual);
+    BOOST_TEST(process.holding.tokensToBorrow(process.now, ms(500)) >= 3 * usual);
+    // What a borrower holds is missing elsewhere.
+    BOOST_TEST(process.holding.tokensToBorrow(process.now, ms(60'000)) == process.holding.tokensToBorrow(process.now, ms(750)));
+}
+
 // Guards against a router that refuses a team for good although its budget is nearly full. A store that rebuilds its history returns
 // outdated reads; the router did not find its row in one, concluded that a successor had recovered it, and stopped spending.
 BOOST_AUTO_TEST_CASE(oldReadDoesNotFence)
