Bound what targets, relays and the store may send without end

By EndlessAnswerTest on the former code: a caller whose target sends an answer to another request, or a chunk extension, without end got no answer while the router read 1 GB in some seconds; trailers without end used up the memory of the process (an exception at 8 GB ended the test there; what comes after it in the table was not reached on the former code). Cause: several limits were per read, not per answer: a buffer without a limit for lines between chunks and trailers, a new timeout for each skipped head and for each read without a part of the body, no limit of what is skipped, events held and searched again from their beginning with each piece, a wait of at least a millisecond after the deadline; 256 MB for an answer of the store. An interim answer of the store was taken for the final one. Change: a connection buffers 128 KB at most; all that is skipped shares one wait and 256 KB; a part of the body must come within the timeout; framing may take 64 KB and 16 times the body; whole answers are at most 16 MB, and interim ones are skipped. EventStreamParser looks at each byte once. AnswerBounds ends a stream that has more events than tokens were asked for, 256 KB without an event, or goes on after the deadline; the target is blamed, and what is held of an event counts as held. Measured: EndlessAnswerTest, 19 cases at a router, 7 at a client of the store and relays, and interim answers: all hold now; other callers are answered meanwhile.

--- a/src/gateway/eventstreamparser.cpp
+++ b/src/gateway/eventstreamparser.cpp
@@ -1,5 +1,6 @@
 #include "gateway/eventstreamparser.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace bamboohold {
@@ -26,31 +27,44 @@
     return Line{.text = text.substr(begin, end - begin), .next = end + (crlf ? 2 : 1)};
 }
 
-/// The offset just after the blank line that ends the first complete event in the text.
-std::optional<std::size_t> endOfEvent(std::string_view text)
+}
+
+std::optional<std::size_t> EventStreamParser::endOfEvent(std::size_t begin)
 {
-    std::size_t begin = 0;
-    while (const std::optional<Line> line = completeLine(text, begin)) {
-        begin = line->next;
-        if (line->text.empty()) {
-            return begin;
+    m_lineBegin = std::max(m_lineBegin, begin);
+    while (true) {
+        const std::size_t end = m_partial.find_first_of("\r\n", std::max(m_lineBegin, m_searchedTo));
+        if (end == std::string::npos) {
+            m_searchedTo = m_partial.size();
+            return std::nullopt;
+        }
+        const bool blank = end == m_lineBegin;
+        // Whether a CR at the end is half of a line end is known only with the next byte.
+        if (!blank && m_partial[end] == '\r' && end + 1 == m_partial.size()) {
+            m_searchedTo = end;
+            return std::nullopt;
+        }
+        const bool crlf = std::string_view(m_partial).substr(end).starts_with("\r\n");
+        m_lineBegin = end + (crlf ? 2 : 1);
+        m_searchedTo = m_lineBegin;
+        if (blank) {
+            return m_lineBegin;
         }
     }
-    return std::nullopt;
-}
-
 }
 
 std::string EventStreamParser::feed(std::string_view bytes)
 {
     m_partial.append(bytes);
     std::size_t whole = 0;
-    while (const auto end = endOfEvent(std::string_view(m_partial).substr(whole))) {
-        recordEventIds(std::string_view(m_partial).substr(whole, *end));
-        whole += *end;
+    while (const auto end = endOfEvent(whole)) {
+        recordEventIds(std::string_view(m_partial).substr(whole, *end - whole));
+        whole = *end;
     }
     std::string events = m_partial.substr(0, whole);
     m_partial.erase(0, whole);
+    m_lineBegin -= whole;
+    m_searchedTo -= whole;
     return events;
 }
 
--- a/src/gateway/eventstreamparser.h
+++ b/src/gateway/eventstreamparser.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,9 +13,18 @@
 class EventStreamParser
 {
 public:
-    /// Appends bytes and returns the events that they complete.
+    /// An incomplete event that is longer than this is not going to end.
+    static constexpr std::size_t s_maxEventBytes = 256 * 1024;
+
+    /// Appends bytes and returns the events that they complete. Looks at each byte once, however the event that it belongs to arrives.
     std::string feed(std::string_view bytes);
 
+    /// Whether the incomplete event is longer than events may be.
+    bool overlong() const
+    {
+        return m_partial.size() > s_maxEventBytes;
+    }
+
     /// The bytes after the last complete event.
     std::string_view incompleteEvent() const
     {
@@ -27,6 +38,8 @@
     void discardIncompleteEvent()
     {
         m_partial.clear();
+        m_lineBegin = 0;
+        m_searchedTo = 0;
     }
 
     /// The number of complete events so far that have an id; comments, for example, have none.
@@ -42,9 +55,14 @@
     }
 
 private:
+    /// The offset just after the blank line that ends the first event after `begin`; none if its end has not arrived.
+    std::optional<std::size_t> endOfEvent(std::size_t begin);
     void recordEventIds(std::string_view event);
 
     std::string m_partial;
+    /// Where the line begins whose end is sought, and up to where no end was found.
+    std::size_t m_lineBegin = 0;
+    std::size_t m_searchedTo = 0;
     std::string m_lastEventId;
     std::uint64_t m_eventCount = 0;
 };
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -184,6 +184,7 @@
     m_priority = access->priority;
     m_serviceName = m_gateway.chooseService(*m_route);
     m_deadline = m_arrived + std::min(m_metadata.callerTimeout, m_route->timeout);
+    m_bounds = AnswerBounds({.deadline = m_deadline, .maxTokens = m_metadata.maxOutputTokens});
     return absl::OkStatus();
 }
 
@@ -318,6 +319,7 @@
         m_screening.attemptSent(now);
         m_firstByteReceived = false;
         m_eventsBeforeAttempt = m_eventParser.eventCount();
+        m_bounds.beginAttempt(m_eventsBeforeAttempt);
         m_writingTime = Duration::zero();
         m_framing.reset();
         m_connectionLost = false;
@@ -502,6 +504,9 @@
     if (mayHaveRun && (!m_route->repeatable() || m_possibleExecutions >= m_route->maxAttempts)) {
         return false;
     }
+    if (m_bounds.tooManyEvents(m_eventParser.eventCount())) {
+        return false;
+    }
     if (m_streamStarted && !m_binding.mayGoOn(streamRequest())) {
         m_lastError.append("; the version that began the stream is not known");
         return false;
@@ -632,6 +637,14 @@
     return outcomeOf(status);
 }
 
+AttemptOutcome RequestHandler::endOverlongAnswer(std::string_view problem)
+{
+    m_lastError = std::string(problem);
+    m_targetSign = HealthSignal::ErrorResponse;
+    m_activeCall->cancel();
+    return steadyNow() >= m_deadline ? AttemptOutcome::TimedOut : AttemptOutcome::Incomplete;
+}
+
 asio::awaitable<AttemptOutcome> RequestHandler::receiveBufferedResponse(HttpStreamCall &call)
 {
     BufferedResponse response{.status = call.status(), .headers = endToEndHeaders(call.headers())};
@@ -647,14 +660,20 @@
         measureFirstByte();
         recordFirstByte();
         more = !piece->empty();
+        if (more && m_bounds.timeOver(steadyNow())) {
+            const AttemptOutcome outcome = endOverlongAnswer("the answer goes on after its time");
+            co_return outcome;
+        }
         if (more && m_hasSuccessStatus) {
             m_screening.answerContinued(steadyNow());
         }
         response.body.append(*piece);
         held.add(piece->size());
         if (response.body.size() > s_maxBufferedBytes && more) {
-            m_lastError = "the answer is longer than may be held";
-            co_return AttemptOutcome::Incomplete;
+            const AttemptOutcome outcome = endOverlongAnswer("the answer is longer than may be held");
+            // An answer with a length has an end.
+            m_targetSign = m_framing == AnswerFraming::Length ? HealthSignal::Neutral : m_targetSign;
+            co_return outcome;
         }
     }
     if (response.status >= s_minServerErrorStatus) {
@@ -694,6 +713,7 @@
 asio::awaitable<AttemptOutcome> RequestHandler::forwardStream(HttpStreamCall &call)
 {
     const Duration stallTimeout = streamStallTimeout(*m_route);
+    HeldBytes held(m_gateway.m_traffic);
     bool more = true;
     bool first = true;
     while (more) {
@@ -716,6 +736,16 @@
             co_return outcome;
         }
         const std::string events = more ? m_eventParser.feed(*piece) : std::string(m_eventParser.incompleteEvent());
+        std::optional<std::string_view> excess = m_bounds.received(piece->size(), m_eventParser.eventCount());
+        if (!excess && more && m_bounds.timeOver(steadyNow())) {
+            excess = "the stream goes on after its time";
+        }
+        if (excess) {
+            const AttemptOutcome outcome = endOverlongAnswer(*excess);
+            co_return outcome;
+        }
+        held.release();
+        held.add(m_eventParser.incompleteEvent().size());
         if (events.empty()) {
             continue;
         }
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/answerbounds.h"
 #include "gateway/attemptoutcome.h"
 #include "gateway/eventstreamparser.h"
 #include "gateway/gateway.h"
@@ -95,6 +96,8 @@
     asio::awaitable<void> refuse(const Failure &failure);
     AttemptOutcome outcomeOf(const absl::Status &status) const;
     AttemptOutcome handleInterruptedResponse(const absl::Status &status);
+    /// Ends an attempt whose answer is not going to end, and blames its target.
+    AttemptOutcome endOverlongAnswer(std::string_view problem);
     bool shouldRetry(AttemptOutcome outcome, Instant now);
     HttpCallOptions callOptions(const Placement &placement, Instant now);
     Duration attemptFirstByteTimeout(Instant now) const;
@@ -147,6 +150,7 @@
     HttpStreamCall *m_activeCall = nullptr;
 
     EventStreamParser m_eventParser;
+    AnswerBounds m_bounds;
     /// From the first attempt of a stream on.
     ObservedStream m_observed;
     bool m_streamStarted = false;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -23,7 +23,7 @@
 /// Maximum number of bytes of a request passed to the kernel at a time.
 constexpr std::size_t s_writePartBytes = 64 * 1024;
 constexpr std::size_t s_maxIdle = 256;
-constexpr std::uint64_t s_maxReplyBytes = 256 * 1024 * 1024;
+constexpr std::uint64_t s_maxReplyBytes = 16 * 1024 * 1024;
 /// A longer request is written concurrently with the wait for its answer, because a peer may answer before it has read the whole request
 /// and then stop reading.
 constexpr std::size_t s_concurrentWriteBytes = 4096;
@@ -32,7 +32,12 @@
 constexpr Duration s_idleMargin = std::chrono::milliseconds(500);
 /// Maximum number of interim answers and answers to other requests that are skipped before the call fails.
 constexpr int s_maxSkippedReplies = 3;
+/// Maximum size of an answer to another request that is skipped.
+constexpr std::size_t s_maxSkippedBytes = 256 * 1024;
 constexpr unsigned s_firstFinalStatus = 200;
+/// An answer whose framing (sizes of chunks, their extensions, trailers) takes more than this, and so many times its body, is given up.
+constexpr std::size_t s_maxFramingBytes = 64 * 1024;
+constexpr std::size_t s_maxFramingPerBody = 16;
 
 std::shared_ptr<HttpRequest> makeRequest(HttpCallOptions &options, const asio::ip::tcp::endpoint &endpoint)
 {
@@ -76,6 +81,18 @@
     return std::chrono::seconds(whole);
 }
 
+/// Whether an answer consists mostly of framing.
+bool isMostlyFraming(std::size_t received, std::size_t body)
+{
+    return received > s_maxFramingBytes + (s_maxFramingPerBody + 1) * body;
+}
+
+/// The time until an instant, at least a millisecond: a wait without time never ends.
+Duration timeUntil(Instant by)
+{
+    return std::max<Duration>(by - steadyNow(), std::chrono::milliseconds(1));
+}
+
 template<typename Parser>
 AnswerFraming framingOf(const Parser &parser)
 {
@@ -184,25 +201,54 @@
     co_return absl::OkStatus();
 }
 
+asio::awaitable<absl::Status> HttpClient::receiveHead(Connection &connection, std::optional<ReplyParser> &parser, Instant by)
+{
+    for (int skipped = 0; skipped <= s_maxSkippedReplies; ++skipped) {
+        parser.emplace();
+        parser->body_limit(s_maxReplyBytes);
+        connection.stream.expires_after(timeUntil(by));
+        const auto [error, size] = co_await http::async_read_header(connection.stream, connection.buffer, *parser, s_tuple);
+        countReceived(size);
+        if (error) {
+            co_return connectionFailure(error, Executed::Unknown);
+        }
+        if (parser->get().result_int() >= s_firstFinalStatus) {
+            co_return absl::OkStatus();
+        }
+    }
+    co_return failed(FailureKind::TargetLost, "only interim answers came", Executed::Unknown);
+}
+
 asio::awaitable<absl::Status>
-HttpClient::receive(Connection &connection, ReplyParser &parser, const HttpCallOptions &options, HttpReply &reply)
+HttpClient::receive(Connection &connection, std::optional<ReplyParser> &received, const HttpCallOptions &options, HttpReply &reply)
 {
     const Instant startedAt = steadyNow();
-    connection.stream.expires_after(options.timeout);
-    const auto [headError, headSize] = co_await http::async_read_header(connection.stream, connection.buffer, parser, s_tuple);
-    countReceived(headSize);
-    if (headError) {
-        co_return connectionFailure(headError, Executed::Unknown);
+    const absl::Status head = co_await receiveHead(connection, received, startedAt + options.timeout);
+    if (!head.ok()) {
+        co_return head;
     }
+    ReplyParser &parser = *received;
     reply.headDelay = steadyNow() - startedAt;
     reply.bodyTooLarge = options.maxReplyBodyBytes > 0 && parser.content_length().value_or(0) > options.maxReplyBodyBytes;
     if (reply.bodyTooLarge) {
         co_return absl::OkStatus();
     }
     parser.eager(true);
+    const Instant by = startedAt + options.replyTimeout;
+    // A single read may take any number of chunks.
+    std::size_t extensionBytes = 0;
+    auto limitExtensions = [&extensionBytes](std::uint64_t, beast::string_view extensions, boost::system::error_code &error) {
+        extensionBytes += extensions.size();
+        if (extensionBytes > s_maxFramingBytes) {
+            error = http::error::bad_chunk_extension;
+        }
+    };
+    parser.on_chunk_header(limitExtensions);
     while (!parser.is_done()) {
-        const Duration remaining = startedAt + options.replyTimeout - steadyNow();
-        connection.stream.expires_after(std::clamp(remaining, Duration::zero(), options.stallTimeout));
+        if (steadyNow() > by) {
+            co_return failed(FailureKind::TargetLost, "the answer does not end", Executed::Unknown);
+        }
+        connection.stream.expires_after(std::min(timeUntil(by), options.stallTimeout));
         const auto [error, size] = co_await http::async_read_some(connection.stream, connection.buffer, parser, s_tuple);
         countReceived(size);
         if (error) {
@@ -240,13 +286,13 @@
     if (!sent.ok()) {
         co_return sent;
     }
-    ReplyParser parser;
-    parser.body_limit(s_maxReplyBytes);
+    std::optional<ReplyParser> answer;
     HttpReply reply;
-    const absl::Status received = co_await receive(*connection, parser, options, reply);
+    const absl::Status received = co_await receive(*connection, answer, options, reply);
     if (!received.ok()) {
         co_return received;
     }
+    ReplyParser &parser = *answer;
     reply.status = parser.get().result_int();
     reply.framing = framingOf(parser);
     reply.contentType = std::string(parser.get()[http::field::content_type]);
@@ -292,8 +338,10 @@
             co_return sent;
         }
     }
+    // All that is skipped takes its time from the same wait.
+    const Instant by = steadyNow() + m_options.timeout;
     for (int skipped = 0; skipped <= s_maxSkippedReplies; ++skipped) {
-        const absl::Status head = co_await readHead();
+        const absl::Status head = co_await readHead(by);
         if (!head.ok()) {
             co_return head;
         }
@@ -302,25 +350,43 @@
             co_return absl::OkStatus();
         }
         m_foreignReplySeen = m_foreignReplySeen || final;
-        while (final && !m_parser->is_done()) {
-            const auto chunk = co_await readSome();
-            if (!chunk.ok()) {
-                co_return failed(FailureKind::TargetLost, "the connection ended within an answer to another request", Executed::Unknown);
+        if (final) {
+            const absl::Status skippedBody = co_await skipBody(by);
+            if (!skippedBody.ok()) {
+                co_return skippedBody;
             }
         }
     }
     co_return failed(FailureKind::TargetLost, "only answers to other requests came", Executed::Unknown);
 }
 
-asio::awaitable<absl::Status> HttpStreamCall::readHead()
+asio::awaitable<absl::Status> HttpStreamCall::skipBody(Instant by)
+{
+    std::size_t skipped = 0;
+    while (!m_parser->is_done()) {
+        const auto part = co_await readPart(by);
+        if (!part.ok()) {
+            co_return failed(FailureKind::TargetLost, "the connection ended within an answer to another request", Executed::Unknown);
+        }
+        skipped += part->size();
+        if (skipped > s_maxSkippedBytes) {
+            co_return failed(FailureKind::TargetLost, "an answer to another request does not end", Executed::Unknown);
+        }
+    }
+    co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::Status> HttpStreamCall::readHead(Instant by)
 {
     m_parser = std::make_unique<Parser>();
+    m_receivedBytes = 0;
+    m_bodyBytes = 0;
     m_parser->body_limit(boost::none);
     m_parser->skip(m_options.method == "HEAD");
     if (!m_connection) {
         co_return failed(FailureKind::TargetLost, "the connection ended after an answer to another request", Executed::Unknown);
     }
-    m_connection->stream.expires_after(m_options.timeout);
+    m_connection->stream.expires_after(timeUntil(by));
     const auto [error, size] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, s_tuple);
     m_client.countReceived(size);
     if (error) {
@@ -350,19 +416,33 @@
 }
 
 asio::awaitable<absl::StatusOr<std::string>> HttpStreamCall::readSome()
+{
+    return readPart(steadyNow() + m_options.timeout);
+}
+
+asio::awaitable<absl::StatusOr<std::string>> HttpStreamCall::readPart(Instant by)
 {
     m_chunk.resize(s_readChunkBytes);
     while (!m_parser->is_done()) {
+        // Without this, bytes that are not of the body would be read for as long as they come without a pause.
+        if (steadyNow() > by) {
+            co_return failed(FailureKind::AnswerIncomplete, "no part of the body came in time", Executed::Yes);
+        }
         auto &body = m_parser->get().body();
         body.data = m_chunk.data();
         body.size = m_chunk.size();
-        m_connection->stream.expires_after(m_options.timeout);
+        m_connection->stream.expires_after(timeUntil(by));
         const auto [error, size] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, s_tuple);
         m_client.countReceived(size);
         if (error && error != http::error::need_buffer) {
             co_return failed(FailureKind::AnswerIncomplete, error.message(), Executed::Yes);
         }
         const std::size_t taken = m_chunk.size() - m_parser->get().body().size;
+        m_receivedBytes += size;
+        m_bodyBytes += taken;
+        if (isMostlyFraming(m_receivedBytes, m_bodyBytes)) {
+            co_return failed(FailureKind::AnswerIncomplete, "the answer is mostly framing", Executed::Yes);
+        }
         if (taken > 0) {
             co_return std::string(m_chunk.data(), taken);
         }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -54,7 +54,7 @@
     /// Empty: the request is always sent.
     std::function<bool()> stillWanted;
     /// Maximum size of the body, in bytes. If the Content-Length exceeds it, the body is not read and the connection is closed. 0: no
-    /// limit.
+    /// limit but that of all answers.
     std::uint64_t maxReplyBodyBytes = 0;
     /// Returns whether an answer's headers show that it belongs to this request. Empty: every answer does. Some peers send an answer twice,
     /// and the second copy would be taken for the answer to the next request on the connection.
@@ -108,8 +108,12 @@
     friend class HttpStreamCall;
 
     struct Connection {
+        /// The most bytes that are held until they are a head, a line between chunks or the trailers.
+        static constexpr std::size_t s_maxBufferedBytes = 128 * 1024;
+
         explicit Connection(const asio::any_io_executor &executor)
             : stream(executor)
+            , buffer(s_maxBufferedBytes)
         {
         }
 
@@ -128,7 +132,10 @@
     asio::awaitable<absl::StatusOr<ConnectionPtr>> connect(const HttpCallOptions &options);
     asio::awaitable<absl::Status> send(ConnectionPtr connection, std::shared_ptr<HttpRequest> request);
     void countReceived(std::size_t bytes);
-    asio::awaitable<absl::Status> receive(Connection &connection, ReplyParser &parser, const HttpCallOptions &options, HttpReply &reply);
+    /// Reads the head of the final answer, after those of a few interim ones.
+    asio::awaitable<absl::Status> receiveHead(Connection &connection, std::optional<ReplyParser> &parser, Instant by);
+    asio::awaitable<absl::Status>
+    receive(Connection &connection, std::optional<ReplyParser> &received, const HttpCallOptions &options, HttpReply &reply);
     void keepForReuse(ConnectionPtr connection, const http::fields &answer);
 
     asio::any_io_executor m_executor;
@@ -166,7 +173,7 @@
     }
 
     /// Returns the next part of the body, empty at its end. Fails with AnswerIncomplete when the connection ends before the answer is
-    /// complete or when a wait times out.
+    /// complete, or when no part of the body has arrived within the timeout, whatever else has.
     asio::awaitable<absl::StatusOr<std::string>> readSome();
 
     /// Closes the connection, which tells the peer to stop. A pending start() or readSome() fails.
@@ -181,13 +188,19 @@
 private:
     using Parser = http::response_parser<http::buffer_body>;
 
-    asio::awaitable<absl::Status> readHead();
+    asio::awaitable<absl::Status> readHead(Instant by);
+    asio::awaitable<absl::StatusOr<std::string>> readPart(Instant by);
+    /// Reads an answer to another request to its end.
+    asio::awaitable<absl::Status> skipBody(Instant by);
 
     HttpClient &m_client;
     HttpCallOptions m_options;
     HttpClient::ConnectionPtr m_connection;
     std::unique_ptr<Parser> m_parser;
     std::vector<char> m_chunk;
+    /// Bytes of the current answer after its head, and those of its body.
+    std::size_t m_receivedBytes = 0;
+    std::size_t m_bodyBytes = 0;
     bool m_cancelled = false;
     /// True when the connection carried an answer to another request, so that nothing that arrives on it later can be trusted.
     bool m_foreignReplySeen = false;
--- a/src/tests/scriptedpeer.cpp
+++ b/src/tests/scriptedpeer.cpp
@@ -110,6 +110,13 @@
             co_return;
         }
         co_await asio::async_write(socket, asio::buffer(action.bytes), s_tuple);
+        while (!action.repeated.empty()) {
+            const auto [error, size] = co_await asio::async_write(socket, asio::buffer(action.repeated), s_tuple);
+            if (error) {
+                ++m_closedByCaller;
+                co_return;
+            }
+        }
         if (action.ending == PeerEnding::Close) {
             co_return;
         }
--- a/src/tests/scriptedpeer.h
+++ b/src/tests/scriptedpeer.h
@@ -31,6 +31,8 @@
 struct PeerAction {
     std::string bytes;
     PeerEnding ending = PeerEnding::Keep;
+    /// Sent again and again after the bytes, until the caller closes the connection.
+    std::string repeated;
 };
 
 /// A server on a loopback address that responds to each request, in order of arrival, with the next action of a script; the last action
