Charge no request more than it may use, nor less than was delivered before a failure

Cause, a part of it: a caller that left a stream was charged 48 events that its target could have made since (288 tokens at six an event), also where the request was limited to a few; the last event of a stream was charged as full beyond the limit. The other way, a stream whose first attempt was closed in order and whose second answered with an error was charged its prompt alone, though events had been delivered. Change: the charge is bounded by what the request may use; events count also where the last attempt failed. How many of the refusals this removes is not known; charges are not yet accounted for by cause. Properties of budgets unchanged.

--- a/src/gateway/requestcost.cpp
+++ b/src/gateway/requestcost.cpp
@@ -10,9 +10,7 @@
 /// at the engine's highest speed, and a few that were in transit.
 constexpr Tokens s_maxUndeliveredEvents = 48;
 
-}
-
-Tokens usedTokens(const RequestMetadata &metadata, const RequestUsage &use)
+Tokens countedTokens(const RequestMetadata &metadata, const RequestUsage &use)
 {
     if (use.possibleExecutions == 0) {
         return 0;
@@ -23,13 +21,14 @@
     const auto events = static_cast<Tokens>(use.events + use.closedInOrder);
     const bool interrupted = use.outcome == AttemptOutcome::Incomplete || use.outcome == AttemptOutcome::NotRun;
     if (interrupted && use.possibleExecutions == use.closedInOrder) {
-        return std::min(metadata.promptTokens + events * use.tokensPerEvent, metadata.worstCaseTokens());
+        return metadata.promptTokens + events * use.tokensPerEvent;
     }
     if (use.outcome == AttemptOutcome::Delivered && use.streamed) {
         return metadata.promptTokens + events * use.tokensPerEvent;
     }
     if (use.outcome == AttemptOutcome::Failed) {
-        return metadata.promptTokens;
+        // An earlier attempt may have delivered events.
+        return metadata.promptTokens + events * use.tokensPerEvent;
     }
     if (use.outcome == AttemptOutcome::CallerDisconnected) {
         return metadata.promptTokens + (events + s_maxUndeliveredEvents) * use.tokensPerEvent;
@@ -38,3 +37,11 @@
 }
 
 }
+
+Tokens usedTokens(const RequestMetadata &metadata, const RequestUsage &use)
+{
+    // An event may hold fewer tokens than the most that one can.
+    return std::min(countedTokens(metadata, use), metadata.worstCaseTokens());
+}
+
+}
--- a/src/gateway/requestcost.h
+++ b/src/gateway/requestcost.h
@@ -24,7 +24,7 @@
 };
 
 /// The tokens that a request is charged: the number used if its outcome is known, otherwise the worst case. Never less than was delivered,
-/// so that no team gets more than it has paid for.
+/// so that no team gets more than it has paid for, and never more than the request may use.
 Tokens usedTokens(const RequestMetadata &metadata, const RequestUsage &use);
 
 }
--- a/src/tests/requestcosttest.cpp
+++ b/src/tests/requestcosttest.cpp
@@ -47,6 +47,28 @@
     BOOST_TEST(usedTokens(s_metadata, left) > 120);
 }
 
+// Guards against a team that is charged more than a request may use: a caller that left was charged events that its target could have made
+// in half a second, whatever the request was limited to.
+BOOST_AUTO_TEST_CASE(noRequestIsChargedMoreThanItMayUse)
+{
+    for (const AttemptOutcome outcome : {AttemptOutcome::Delivered,
+                                         AttemptOutcome::CallerDisconnected,
+                                         AttemptOutcome::Incomplete,
+                                         AttemptOutcome::Failed,
+                                         AttemptOutcome::TimedOut,
+                                         AttemptOutcome::NotRun}) {
+        for (const Tokens limit : {0, 3, 20, 400}) {
+            for (const std::uint64_t events : {0U, 1U, 4U, 200U}) {
+                const RequestMetadata metadata{.promptTokens = 100, .maxOutputTokens = limit};
+                const RequestUsage use{
+                    .outcome = outcome, .possibleExecutions = 1, .streamed = events > 0, .events = events, .tokensPerEvent = 6};
+                BOOST_TEST(usedTokens(metadata, use) <= metadata.worstCaseTokens());
+                BOOST_TEST(usedTokens(metadata, use) >= metadata.promptTokens + std::min<Tokens>(static_cast<Tokens>(events), limit));
+            }
+        }
+    }
+}
+
 // Guards against a team that pays the worst case for each stream that a crash of its target has ended, though all of it has arrived.
 BOOST_AUTO_TEST_CASE(streamClosedInsideAnEventIsChargedByItsEvents)
 {
