Open the readiness port exclusively as well

Cause: an overloaded router closes its callers' port at times, and the recovery of budgets relies on a successor that cannot open a port of a process that still runs. Change: the readiness port, which stays open until the process ends, is exclusive, too.

--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -107,7 +107,8 @@
         , m_plans(m_store, planWatcherOptions())
         , m_targets(m_store, targetWatcherOptions())
         , m_callers(pool, callerOptions(), callerHandler())
-        , m_readiness(pool, {.address = m_options.readiness.address, .port = m_options.readiness.port}, readinessHandler())
+        , m_readiness(
+              pool, {.address = m_options.readiness.address, .port = m_options.readiness.port, .exclusive = true}, readinessHandler())
         , m_metricsServer(pool, {.address = m_options.metrics.address, .port = m_options.metrics.port}, metricsHandler())
     {
         if (m_options.openRelayStore && m_options.mechanisms.relays) {
@@ -127,8 +128,8 @@
     /// Opens the servers and starts to follow the store. Fails if one of the ports cannot be opened.
     absl::Status open()
     {
-        // The callers' port is opened first: as it is opened exclusively, success proves that no earlier process runs at this address any
-        // more, which the recovery of its budgets relies on.
+        // The ports of callers and of readiness are opened exclusively: success proves that no earlier process runs at this address any
+        // more, which the recovery of its budgets relies on. An overloaded process closes its callers' port at times, but not the other.
         for (HttpServer *server : {&m_callers, &m_readiness, &m_metricsServer}) {
             if (server == &m_metricsServer && m_options.metrics.port == 0) {
                 continue;
