--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -40,8 +40,8 @@
     struct Options {
         /// Timeout of a call to a peer; peers answer within a few milliseconds.
         Duration peerTimeout = std::chrono::milliseconds(120);
-        /// How long the answer to a loan request is accepted, and how long a borrower waits for it, by the time that answers have taken: on a
-        /// host whose link is full all lenders seem slow.
+        /// How long the answer to a loan request is accepted, and how long a borrower waits for it, by the time that answers have taken: on
+        /// a host whose link is full all lenders seem slow.
         Duration maxLoanWait = std::chrono::seconds(3);
         AdaptiveTimeout::Options loanTimeout{.minTimeout = std::chrono::milliseconds(120), .maxTimeout = std::chrono::seconds(1)};
         /// Timeout for a piece of a configuration, which may be queued behind answers to callers on a slow link.
--- a/src/overload/rotation.cpp
+++ b/src/overload/rotation.cpp
@@ -82,8 +82,8 @@
             return false;
         }
     }
-    // Where most hosts are full, a change would only move callers from one to the next. If another place is free, the full one leaves without
-    // this one.
+    // Where most hosts are full, a change would only move callers from one to the next. If another place is free, the full one leaves
+    // without this one.
     const bool fewFull = fullIn > 0 && 2 * fullIn <= in;
     return fewFull && !mayLeaveBeside(othersOut(now) + 1, outCapacity);
 }
