Count arrivals at targets by cause, and log each repeat

Cause: the log could not tell whether routers that start again bring a new share of the retry limit, whether counts of routers differ, whether some repeats do not come out of the budget, or whether the budget counts other requests than the limit: answered requests are logged one in 32, and nothing tells what a router had used when it was killed.

Change: RequestRetries is the one way on which a request is sent to a target. It counts each arrival by cause right before the request is written (target_arrivals_total) and logs those beyond the first (attempt.repeated). The budget decides as before. Two limits of the search move there from RequestHandler.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -16,13 +16,9 @@
 
 namespace {
 
-/// The most targets that one request is sent to, whatever they respond.
-constexpr std::size_t s_maxTargetsTried = 5;
 /// Opening a connection takes a few milliseconds. A host that has not accepted by then has lost power or is unreachable, and another target
 /// can still serve the caller within most objectives.
 constexpr Duration s_connectTimeout = std::chrono::milliseconds(250);
-/// With less time left no retry is made, because no target could respond in time.
-constexpr Duration s_minAttemptTime = std::chrono::milliseconds(30);
 /// A target that restarted after a request was sent to it knows nothing of that request. If its host lost power or is unreachable, no TCP
 /// reset arrives, and the caller would wait for half of its timeout or more in vain. Data that still arrives from the former process is
 /// forwarded. After this silence, which is no longer than the pause that callers accept in a stream, the request is sent to another target.
@@ -59,6 +55,7 @@
     , m_binding(gateway.m_board, gateway.m_streamOrigins, gateway.m_metrics)
     , m_screening(gateway.m_guard, exchange)
     , m_share(gateway.m_shares, gateway.m_metrics)
+    , m_retries(gateway.m_retryBudget, gateway.m_metrics)
 {
     m_gateway.m_activeRequests.insert(this);
 }
@@ -250,7 +247,7 @@
     }
     m_countedStream = m_route->repeatability == Repeatability::Stream;
     m_gateway.m_streamsInFlight += m_countedStream ? 1 : 0;
-    m_gateway.m_retryBudget.recordRequest(m_serviceName, m_arrived);
+    m_retries.begin(m_metadata.requestId, m_serviceName, m_arrived);
     return absl::OkStatus();
 }
 
@@ -458,6 +455,7 @@
         measureCompletion();
     }
     recordFirstByte();
+    m_retries.attemptEnded(outcome, m_streamStarted);
     m_gateway.m_board.attemptEnded(m_placement->incarnation, m_targetSign, steadyNow());
     m_gateway.m_chooser.reportLoad(m_placement->incarnation);
     m_gateway.m_dispatcher.capacityMayHaveGrown(m_serviceName);
@@ -492,7 +490,7 @@
 {
     const bool retryableOutcome =
         outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::Incomplete;
-    if (!retryableOutcome || m_callerDisconnected || m_triedTargets.size() >= s_maxTargetsTried || m_deadline - now < s_minAttemptTime) {
+    if (!retryableOutcome || m_callerDisconnected || !RequestRetries::worthTrying(m_triedTargets.size(), m_deadline - now)) {
         return false;
     }
     // On a congested link each further target would cost another connection timeout, and the caller can still be served through another
@@ -516,7 +514,7 @@
         m_lastError.append("; targets crashed under this request, or under others with a part of its prompt");
         return false;
     }
-    if (m_attemptsSent > 0 && !m_gateway.m_retryBudget.tryAcquireRetry(m_serviceName, m_gateway.m_options.routers(), now)) {
+    if (!m_retries.tryRetry(m_gateway.m_options.routers(), now)) {
         m_lastError.append("; retry budget used up");
         return false;
     }
@@ -557,7 +555,11 @@
     // by the disconnect. So the connection is checked right before sending, and so is the quarantine.
     options.stillWanted = [this] {
         m_callerDisconnected = m_callerDisconnected || m_exchange.isCallerDisconnected();
-        return !m_callerDisconnected && m_screening.recheck().ok();
+        const bool wanted = !m_callerDisconnected && m_screening.recheck().ok();
+        if (wanted) {
+            m_retries.sent(m_placement->incarnation, m_gateway.m_options.routers(), steadyNow());
+        }
+        return wanted;
     };
     options.matchesRequest = [this](const http::fields &fields) {
         const ResponseMetadata response = m_gateway.m_options.codec.readResponse(s_minSuccessStatus, fields);
@@ -586,12 +588,10 @@
     const absl::Status started = co_await call.start();
     AttemptOutcome outcome = AttemptOutcome::Incomplete;
     if (started.ok()) {
-        ++m_attemptsSent;
         outcome = co_await receiveResponse(call);
     } else {
         outcome = outcomeOf(started);
         m_lastError = std::string(started.message());
-        m_attemptsSent += outcome == AttemptOutcome::NotRun ? 0 : 1;
         m_connectionLost = !call.cancelled();
         m_hostCongested = m_connectTimedOut && m_gateway.networkCongested();
         const bool cancelledHere = m_callerDisconnected || toFailure(started).kind == FailureKind::Cancelled;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -5,6 +5,7 @@
 #include "gateway/eventstreamparser.h"
 #include "gateway/gateway.h"
 #include "gateway/observedstream.h"
+#include "gateway/requestretries.h"
 #include "gateway/requestscreening.h"
 #include "gateway/requestshare.h"
 #include "gateway/streambinding.h"
@@ -118,6 +119,7 @@
     StreamBinding m_binding;
     RequestScreening m_screening;
     RequestShare m_share;
+    RequestRetries m_retries;
     RequestMetadata m_metadata;
     const Route *m_route = nullptr;
     const ServicePlan *m_service = nullptr;
@@ -139,7 +141,6 @@
     std::vector<std::string> m_triedTargets;
     /// Attempts in which a target may have run the request.
     unsigned m_possibleExecutions = 0;
-    unsigned m_attemptsSent = 0;
     /// An attempt other than the last one was interrupted, so the tokens that it delivered were not counted.
     bool m_hasUncountedAttempt = false;
     /// Attempts whose stream the target closed in order before it was complete.
--- a/src/gateway/retrybudget.cpp
+++ b/src/gateway/retrybudget.cpp
@@ -46,4 +46,11 @@
     return true;
 }
 
+RetryBudget::Usage RetryBudget::usage(const std::string &service, Instant now)
+{
+    Window &window = m_windows[service];
+    dropExpired(window, now);
+    return {.requests = window.requests.size(), .retries = window.retries.size()};
+}
+
 }
--- a/src/gateway/retrybudget.h
+++ b/src/gateway/retrybudget.h
@@ -28,6 +28,12 @@
         double usedShare = 0.7;
     };
 
+    /// What was counted within the window that ends now.
+    struct Usage {
+        std::size_t requests = 0;
+        std::size_t retries = 0;
+    };
+
     explicit RetryBudget(Options options);
 
     /// Records that a request for the service arrived.
@@ -36,6 +42,8 @@
     /// Takes one retry out of the budget. Returns false if none is left.
     bool tryAcquireRetry(const std::string &service, std::size_t routers, Instant now);
 
+    Usage usage(const std::string &service, Instant now);
+
 private:
     struct Window {
         std::deque<Instant> requests;
