Divide the fleet's retry limit so that the parts add up to it

Cause: a limit that belongs to the fleet was handed out for being alive. Each router used 0.7 of (0.2 of its requests of the last 10 s, and 58 divided by the routers it counted), with a window of its own. A router that starts again has an empty window and takes its share once more. The same happens to routers that join, whose count is 1 until the first one or old while the store is away, that others have ceased to count, and to callers that move to another router. The 0.7 hid it where each router restarts at most once in a window.

Change: a request brings half of the ratio at the router that reads it, for the time of a window; what is not spent ends with the process. The slack is divided by RouterLease: a router has a share only while its row and its count are recent, and after a time within which all others have counted it; those that left are counted until what they used is out of the window. A retry is taken right before it is sent, so that none is lost on a target that cannot be reached. RouterRegistry measures the store's time from the sending of a call, so that no row looks older than it is.

Why it works: the requests of a window and the one before pay for a window's retries, 0.1 each, and the limit counts the larger window. Any two routers that use the slack within one span have counted each other, and a share falls with the count: docs/design/retry-limit.md.

Measured: RetryFleetTest and RetryFleetPropertyTest failed before (133 checks of 11 cases) and hold. RetryBudgetTest keeps its bounds.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/callercodec.h"
 #include "gateway/loadshedder.h"
 #include "gateway/queuedispatcher.h"
+#include "gateway/requestretries.h"
 #include "gateway/retrybudget.h"
 #include "gateway/routingplan.h"
 #include "gateway/streamorigins.h"
@@ -61,8 +62,10 @@
         QueueDispatcher::Options queue;
         ServiceShares::Options shares;
         RetryBudget::Options retryBudget;
-        /// The number of routers that share the retry budget, including this one.
-        std::function<std::size_t()> routers;
+        /// By what position this router divides the slack of the retry budget.
+        RequestRetries::PositionFinder fleetPosition = [](std::string_view, Instant) {
+            return std::nullopt;
+        };
         /// How long requests wait at most for the first configuration and targets. A router that has just started has them within tens of
         /// milliseconds, and all callers that could not connect before arrive at once; if they were refused then, their retries would be
         /// late. A longer wait would not help, since the store is then most likely unreachable.
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -286,21 +286,17 @@
 
     typename RouterRegistry<Relayed>::Options registryOptions()
     {
-        return {.router = addressText(m_options.link), .onCounted = [this](const std::vector<std::string> &routers) {
-                    m_link.setPeers(routers);
-                    m_ledger.setRouters(routers);
-                    m_rotation.setRouters(routers);
-                    m_availability.setRouters(routers, steadyNow());
-                    m_gateway.chooser().setRouters(routers);
-                    m_gateway.streamOrigins().setRouters(routers);
-                }};
-    }
-
-    std::function<std::size_t()> routerCount() const
-    {
-        return [this] {
-            return m_registry.routers();
-        };
+        return {.router = addressText(m_options.link),
+                .onCounted =
+                    [this](const std::vector<std::string> &routers) {
+                        m_link.setPeers(routers);
+                        m_ledger.setRouters(routers);
+                        m_rotation.setRouters(routers);
+                        m_availability.setRouters(routers, steadyNow());
+                        m_gateway.chooser().setRouters(routers);
+                        m_gateway.streamOrigins().setRouters(routers);
+                    },
+                .limitSpan = m_options.gateway.retryBudget.span()};
     }
 
     std::function<std::size_t()> countedRouters() const
@@ -313,7 +309,9 @@
     Gateway::Options gatewayOptions() const
     {
         Gateway::Options options = m_options.gateway;
-        options.routers = routerCount();
+        options.fleetPosition = [this](std::string_view service, Instant now) {
+            return m_registry.position(service, now);
+        };
         options.chooser.self = addressText(m_options.link);
         options.rotation.self = addressText(m_options.link);
         options.rotation.capacity = options.hostLoad.cores > 0 ? options.hostLoad.cores : 1;
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -55,7 +55,7 @@
     , m_binding(gateway.m_board, gateway.m_streamOrigins, gateway.m_metrics)
     , m_screening(gateway.m_guard, exchange)
     , m_share(gateway.m_shares, gateway.m_metrics)
-    , m_retries(gateway.m_retryBudget, gateway.m_metrics)
+    , m_retries(gateway.m_retryBudget, gateway.m_metrics, gateway.m_options.fleetPosition)
 {
     m_gateway.m_activeRequests.insert(this);
 }
@@ -514,7 +514,7 @@
         m_lastError.append("; targets crashed under this request, or under others with a part of its prompt");
         return false;
     }
-    if (!m_retries.tryRetry(m_gateway.m_options.routers(), now)) {
+    if (!m_retries.maySend(now)) {
         m_lastError.append("; retry budget used up");
         return false;
     }
@@ -555,11 +555,7 @@
     // by the disconnect. So the connection is checked right before sending, and so is the quarantine.
     options.stillWanted = [this] {
         m_callerDisconnected = m_callerDisconnected || m_exchange.isCallerDisconnected();
-        const bool wanted = !m_callerDisconnected && m_screening.recheck().ok();
-        if (wanted) {
-            m_retries.sent(m_placement->incarnation, m_gateway.m_options.routers(), steadyNow());
-        }
-        return wanted;
+        return !m_callerDisconnected && m_screening.recheck().ok() && m_retries.trySend(m_placement->incarnation, steadyNow());
     };
     options.matchesRequest = [this](const http::fields &fields) {
         const ResponseMetadata response = m_gateway.m_options.codec.readResponse(s_minSuccessStatus, fields);
--- a/src/gateway/requestretries.cpp
+++ b/src/gateway/requestretries.cpp
@@ -16,9 +16,10 @@
 
 }
 
-RequestRetries::RequestRetries(RetryBudget &budget, Metrics &metrics)
+RequestRetries::RequestRetries(RetryBudget &budget, Metrics &metrics, const PositionFinder &findPosition)
     : m_budget(budget)
     , m_metrics(metrics)
+    , m_findPosition(findPosition)
 {
 }
 
@@ -34,34 +35,38 @@
     m_budget.recordRequest(service, arrived);
 }
 
-bool RequestRetries::tryRetry(std::size_t routers, Instant now)
+bool RequestRetries::maySend(Instant now)
 {
-    const bool granted = m_sent == 0 || m_budget.tryAcquireRetry(m_service, routers, now);
-    if (!granted) {
+    const bool allowed = m_sent == 0 || m_budget.hasRetry(m_service, m_findPosition(m_service, now), now);
+    if (!allowed) {
         m_metrics.count("retries_refused_total", {.name = "service", .value = m_service});
     }
-    return granted;
+    return allowed;
 }
 
-void RequestRetries::sent(std::string_view target, std::size_t routers, Instant now)
+bool RequestRetries::trySend(std::string_view target, Instant now)
 {
+    const std::optional<FleetPosition> position = m_sent > 0 ? m_findPosition(m_service, now) : std::nullopt;
+    if (m_sent > 0 && !m_budget.tryAcquireRetry(m_service, position, now)) {
+        return false;
+    }
     ++m_sent;
     m_underWay = true;
     const std::array<MetricLabel, 2> labels{{{.name = "service", .value = m_service}, {.name = "cause", .value = m_cause}}};
     m_metrics.count("target_arrivals_total", labels);
-    if (m_sent == 1) {
-        return;
+    if (m_sent > 1) {
+        const RetryBudget::Usage usage = m_budget.usage(m_service, now);
+        logLine(Severity::Info,
+                "attempt.repeated",
+                {{"request", m_requestId},
+                 {"service", m_service},
+                 {"target", target},
+                 {"cause", m_cause},
+                 {"unspent_requests", static_cast<std::int64_t>(usage.unspentRequests)},
+                 {"slack_retries", static_cast<std::int64_t>(usage.slackRetries)},
+                 {"routers", static_cast<std::int64_t>(position ? position->routers : 0)}});
     }
-    const RetryBudget::Usage usage = m_budget.usage(m_service, now);
-    logLine(Severity::Info,
-            "attempt.repeated",
-            {{"request", m_requestId},
-             {"service", m_service},
-             {"target", target},
-             {"cause", m_cause},
-             {"requests", static_cast<std::int64_t>(usage.requests)},
-             {"retries", static_cast<std::int64_t>(usage.retries)},
-             {"routers", static_cast<std::int64_t>(routers)}});
+    return true;
 }
 
 void RequestRetries::attemptEnded(AttemptOutcome outcome, bool streamStarted)
--- a/src/gateway/requestretries.h
+++ b/src/gateway/requestretries.h
@@ -5,6 +5,8 @@
 #include "operations/metrics.h"
 
 #include <cstddef>
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,8 +17,11 @@
 class RequestRetries
 {
 public:
-    /// Both must outlive this object.
-    RequestRetries(RetryBudget &budget, Metrics &metrics);
+    /// Returns the position by which this router divides the slack of a service; see RouterLease.
+    using PositionFinder = std::function<std::optional<FleetPosition>(std::string_view service, Instant now)>;
+
+    /// All must outlive this object.
+    RequestRetries(RetryBudget &budget, Metrics &metrics, const PositionFinder &findPosition);
 
     /// Whether to try another target after this many, with so much time left.
     static bool worthTrying(std::size_t targetsTried, Duration timeLeft);
@@ -24,11 +29,11 @@
     /// The request was read at `arrived` and is admitted to the service.
     void begin(std::string_view requestId, const std::string &service, Instant arrived);
 
-    /// Takes a retry, unless no attempt has sent the request yet. Returns false if the retry budget is used up.
-    bool tryRetry(std::size_t routers, Instant now);
+    /// Whether the request may be sent to another target now. It is no retry as long as no attempt has sent it.
+    bool maySend(Instant now);
 
-    /// The request is about to be sent to the target.
-    void sent(std::string_view target, std::size_t routers, Instant now);
+    /// Takes the retry that sending the request requires. Call right before it is sent. Returns false if the retry budget is used up.
+    bool trySend(std::string_view target, Instant now);
 
     /// How the attempt ended. `streamStarted`: a part of the answer has been forwarded to the caller.
     void attemptEnded(AttemptOutcome outcome, bool streamStarted);
@@ -36,6 +41,7 @@
 private:
     RetryBudget &m_budget;
     Metrics &m_metrics;
+    const PositionFinder &m_findPosition;
     std::string m_requestId;
     std::string m_service;
     unsigned m_sent = 0;
--- a/src/gateway/retrybudget.h
+++ b/src/gateway/retrybudget.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "clock/instant.h"
+#include "membership/routerlease.h"
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <string>
 
 #include <absl/container/flat_hash_map.h>
@@ -12,8 +14,14 @@
 
 /// Limits the retries of each service, so that a failing service is not flooded with them as well.
 ///
-/// The limit applies to all routers together. Each router uses its own share: an equal part of the slack, and the ratio of its own
-/// requests. Does no I/O.
+/// The limit applies to all routers together, in every window: a ratio of the requests, and a slack. Neither part depends on what a router
+/// did before it started.
+///
+/// Each request brings a part of a retry, at the router that reads it, and that router spends it within the window. The requests of a
+/// window and those of the one before can pay for the retries of a window, so a request brings half of the ratio. Routers need to know
+/// nothing of each other for this, and one that starts again has nothing to spend.
+///
+/// The slack is divided among the routers that have a position in the fleet, see RouterLease. Does no I/O.
 class RetryBudget
 {
 public:
@@ -23,37 +31,57 @@
         /// Additional retries within the window, for all routers together.
         double slack = 58;
         Duration window = std::chrono::seconds(10);
-        /// The part of the limit that is used. The rest is a reserve, because the windows of the routers are not aligned, and a router that
-        /// joins or restarts brings a new share.
-        double usedShare = 0.7;
+        /// The part of the ratio that a request brings.
+        double usedShare = 0.5;
+        /// The longest time from the moment at which a caller sends a request until this router reads it. Callers give up after it.
+        Duration maxCallerDelay = std::chrono::seconds(1);
+        /// The longest time from the moment at which a retry is taken until it arrives at its target. Covers a lost packet.
+        Duration maxSendDelay = std::chrono::seconds(1);
+
+        /// Retries that arrive within a window are taken within this time.
+        Duration span() const
+        {
+            return window + maxSendDelay;
+        }
     };
 
-    /// What was counted within the window that ends now.
+    /// What this router has to retry by, and the retries that it has taken out of the slack within the span.
     struct Usage {
-        std::size_t requests = 0;
-        std::size_t retries = 0;
+        std::size_t unspentRequests = 0;
+        std::size_t slackRetries = 0;
     };
 
     explicit RetryBudget(Options options);
 
-    /// Records that a request for the service arrived.
+    /// Records that a request for the service was read.
     void recordRequest(const std::string &service, Instant now);
 
-    /// Takes one retry out of the budget. Returns false if none is left.
-    bool tryAcquireRetry(const std::string &service, std::size_t routers, Instant now);
+    /// Whether a retry could be taken now.
+    bool hasRetry(const std::string &service, std::optional<FleetPosition> position, Instant now);
+
+    /// Takes one retry out of the budget, to be sent at once. Returns false if none is left. Without a position there is no slack.
+    bool tryAcquireRetry(const std::string &service, std::optional<FleetPosition> position, Instant now);
 
     Usage usage(const std::string &service, Instant now);
 
 private:
-    struct Window {
+    struct Account {
+        /// Requests of which something is left to spend.
         std::deque<Instant> requests;
-        std::deque<Instant> retries;
+        /// What the oldest of them has paid already, from 0 to 1.
+        double spentOfOldest = 0;
+        /// When retries of the slack were taken.
+        std::deque<Instant> slackRetries;
     };
 
-    void dropExpired(Window &window, Instant now) const;
+    Account &account(const std::string &service, Instant now);
+    /// Whether the requests pay for a retry.
+    bool coveredByRequests(const Account &account) const;
+    std::size_t slackShare(FleetPosition position) const;
 
     Options m_options;
-    absl::flat_hash_map<std::string, Window> m_windows;
+    double m_requestsPerRetry = 0;
+    absl::flat_hash_map<std::string, Account> m_accounts;
 };
 
 }
--- a/src/membership/routerregistry.h
+++ b/src/membership/routerregistry.h
@@ -2,6 +2,7 @@
 
 #include "clock/steadytime.h"
 #include "membership/liverouters.h"
+#include "membership/routerlease.h"
 #include "net/endpoint.h"
 #include "net/pause.h"
 #include "operations/log.h"
@@ -12,14 +13,16 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace bamboohold {
 
-/// Counts the live routers: each one writes a row periodically and reads the rows of the others. The count is used only to size shares of
-/// budgets and retries; no guarantee depends on it.
+/// Counts the live routers: each one writes a row periodically and reads the rows of the others. Counts differ between routers, so that no
+/// guarantee may depend on one. What all routers together must not exceed is divided by position(), which is right at all of them.
 template<RowStore Store>
 class RouterRegistry
 {
@@ -35,12 +38,15 @@
         /// If all routers start together, the first count waits this long for the rows of the others. They start within a few tenths of a
         /// second of each other and take up to a second to come up on a slow host.
         Duration startupWait = std::chrono::milliseconds(1500);
+        /// The time within which a limit applies that is divided by position().
+        Duration limitSpan = RouterLease::Options{}.span;
     };
 
     RouterRegistry(Store &store, Options options)
         : m_store(store)
         , m_options(std::move(options))
         , m_live({.interval = m_options.interval, .rowTimeout = m_options.rowTimeout})
+        , m_lease({.router = m_options.router, .lease = 2 * m_options.interval, .span = m_options.limitSpan})
     {
     }
 
@@ -73,6 +79,7 @@
     boost::asio::awaitable<void> deregister()
     {
         m_deregistering = true;
+        m_lease.end();
         const RowTransaction transaction = rowWrite(std::nullopt);
         const absl::StatusOr<RowTransactionResult> verdict = co_await m_store.transact(transaction);
         if (!verdict.ok()) {
@@ -92,6 +99,12 @@
         return m_hasCounted;
     }
 
+    /// The position by which this router divides what has this name; see RouterLease.
+    std::optional<FleetPosition> position(std::string_view name, Instant now) const
+    {
+        return m_lease.position(name, now);
+    }
+
 private:
     RowAddress ownAddress() const
     {
@@ -106,10 +119,12 @@
     boost::asio::awaitable<bool> writeRow()
     {
         const RowTransaction transaction = rowWrite(absl::StrCat(estimatedStoreTime()));
+        const Instant sentAt = steadyNow();
         const absl::StatusOr<RowTransactionResult> verdict = co_await m_store.transact(transaction);
         if (verdict.ok()) {
+            m_lease.recordWrite(sentAt, verdict->generation, steadyNow());
             m_storeTime = verdict->storeTime;
-            m_storeTimeAt = steadyNow();
+            m_storeTimeAt = sentAt;
             m_generation = std::max(m_generation, verdict->generation);
         }
         co_return verdict.ok();
@@ -118,6 +133,7 @@
     boost::asio::awaitable<bool> countRouters()
     {
         const RowAddress own = ownAddress();
+        const Instant sentAt = steadyNow();
         const absl::StatusOr<RowsSnapshot> read = co_await m_store.read(own.table, own.part);
         if (!read.ok() || read->generation < m_generation) {
             co_return false;
@@ -125,8 +141,9 @@
         m_rowLost = read->generation > m_generation;
         m_generation = read->generation;
         m_storeTime = read->storeTime;
-        m_storeTimeAt = steadyNow();
+        m_storeTimeAt = sentAt;
         const std::vector<std::string> live = m_live.update(validRows(*read), read->generation, read->storeTime);
+        m_lease.recordCount(sentAt, live, read->generation, steadyNow());
         const std::size_t routers = std::max<std::size_t>(live.size(), 1);
         if (routers != m_routers) {
             logLine(Severity::Info,
@@ -169,10 +186,12 @@
 
     Store &m_store;
     Options m_options;
+    /// The store's time in its latest answer, and when that was asked for: no row looks older than it is.
     StoreTimeMs m_storeTime = 0;
     Instant m_storeTimeAt{};
     std::size_t m_routers = 1;
     LiveRouters m_live;
+    RouterLease m_lease;
     /// The latest generation among the answers of the store.
     StoreGeneration m_generation = 0;
     /// True if a read has shown a later generation than the last write.
--- a/src/tests/admissionfleettest.cpp
+++ b/src/tests/admissionfleettest.cpp
@@ -59,8 +59,8 @@
         Gateway::Options options;
         options.codec = testCodec();
         options.chooser.self = loadAddress(number);
-        options.routers = [] {
-            return s_routers;
+        options.fleetPosition = [](std::string_view, Instant) {
+            return FleetPosition{.rank = 0, .routers = s_routers};
         };
         return options;
     }
--- a/src/tests/gatewayfixture.cpp
+++ b/src/tests/gatewayfixture.cpp
@@ -293,8 +293,8 @@
     options.board.failureDomain = "here";
     options.startupWait = m_startupWait;
     options.plannedRetries = m_plannedRetries;
-    options.routers = [] {
-        return std::size_t(1);
+    options.fleetPosition = [](std::string_view, Instant) {
+        return FleetPosition{.rank = 0, .routers = 1};
     };
     return options;
 }
--- a/src/tests/poisonscene.h
+++ b/src/tests/poisonscene.h
@@ -100,8 +100,8 @@
             }
             return metadata;
         };
-        options.routers = [] {
-            return s_routers;
+        options.fleetPosition = [](std::string_view, Instant) {
+            return FleetPosition{.rank = 0, .routers = s_routers};
         };
         return options;
     }
--- a/src/tests/retrybudgettest.cpp
+++ b/src/tests/retrybudgettest.cpp
@@ -4,6 +4,12 @@
 
 using namespace bamboohold;
 
+namespace {
+
+constexpr FleetPosition s_alone{.rank = 0, .routers = 1};
+
+}
+
 BOOST_AUTO_TEST_SUITE(RetryBudgetTest)
 
 // Every target of a service fails. The retries must stay within the ratio and slack that all routers share, and be allowed again once the
@@ -11,6 +17,7 @@
 BOOST_AUTO_TEST_CASE(staysWithinTheSharedBound)
 {
     constexpr std::size_t s_routers = 5;
+    constexpr FleetPosition s_position{.rank = 4, .routers = s_routers};
     constexpr int s_requests = 400;
     RetryBudget budget({.ratio = 0.2, .slack = 50, .window = std::chrono::seconds(10), .usedShare = 1});
     Instant now = Instant(std::chrono::seconds(5));
@@ -18,20 +25,20 @@
     for (int count = 0; count < s_requests; ++count) {
         now += std::chrono::milliseconds(10);
         budget.recordRequest("service", now);
-        granted += budget.tryAcquireRetry("service", s_routers, now) ? 1 : 0;
+        granted += budget.tryAcquireRetry("service", s_position, now) ? 1 : 0;
     }
     BOOST_TEST(granted == static_cast<int>(0.2 * s_requests + 50 / s_routers));
     now += std::chrono::seconds(11);
-    BOOST_TEST(budget.tryAcquireRetry("service", s_routers, now));
+    BOOST_TEST(budget.tryAcquireRetry("service", s_position, now));
 }
 
 BOOST_AUTO_TEST_CASE(servicesHaveSeparateBudgets)
 {
     RetryBudget budget({.ratio = 0, .slack = 1, .window = std::chrono::seconds(10), .usedShare = 1});
     const Instant now = Instant(std::chrono::seconds(5));
-    BOOST_TEST(budget.tryAcquireRetry("one", 1, now));
-    BOOST_TEST(!budget.tryAcquireRetry("one", 1, now));
-    BOOST_TEST(budget.tryAcquireRetry("two", 1, now));
+    BOOST_TEST(budget.tryAcquireRetry("one", s_alone, now));
+    BOOST_TEST(!budget.tryAcquireRetry("one", s_alone, now));
+    BOOST_TEST(budget.tryAcquireRetry("two", s_alone, now));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/retryfleet.cpp
+++ b/src/tests/retryfleet.cpp
@@ -20,6 +20,11 @@
 /// The share of callers that still connect to a router that has ended.
 constexpr double s_lostShare = 0.3;
 
+RetryBudget::Options retryOptions()
+{
+    return {.ratio = RetryFleet::s_ratio, .slack = static_cast<double>(RetryFleet::s_slack), .window = RetryFleet::s_window};
+}
+
 std::size_t between(const std::vector<Duration> &times, Duration from, Duration until)
 {
     return static_cast<std::size_t>(std::ranges::lower_bound(times, until) - std::ranges::lower_bound(times, from));
@@ -90,10 +95,9 @@
     ++router.life;
     router.running = true;
     router.leaving = false;
-    router.budget =
-        std::make_unique<RetryBudget>(RetryBudget::Options{.ratio = s_ratio, .slack = static_cast<double>(s_slack), .window = s_window});
+    router.budget = std::make_unique<RetryBudget>(retryOptions());
     router.live = std::make_unique<LiveRouters>(LiveRouters::Options{.interval = s_interval, .rowTimeout = s_rowTimeout});
-    router.counted = 1;
+    router.lease = std::make_unique<RouterLease>(RouterLease::Options{.router = router.name, .span = retryOptions().span()});
     router.storeTime = 0;
     router.generation = 0;
     router.rowLost = false;
@@ -121,12 +125,13 @@
     const StoreTimeMs estimate = router.storeTime == 0
         ? 0
         : router.storeTime + std::chrono::duration_cast<std::chrono::milliseconds>(instant() - router.storeTimeAt).count();
+    const Instant sentAt = instant();
     const auto fail = [this, index, done] {
         whileRunning(index, s_callTimeout, [done] {
             done(false);
         });
     };
-    whileRunning(index, drawn(m_options.maxStoreDelay), [this, index, estimate, done, fail] {
+    whileRunning(index, drawn(m_options.maxStoreDelay), [this, index, estimate, sentAt, done, fail] {
         if (!reaches(m_routers[index])) {
             fail();
             return;
@@ -134,15 +139,16 @@
         m_rows[m_routers[index].name] = estimate;
         const StoreTimeMs storeTimeThen = storeTime();
         const StoreGeneration generation = m_generation;
-        whileRunning(index, drawn(m_options.maxStoreDelay), [this, index, done, fail, storeTimeThen, generation] {
+        whileRunning(index, drawn(m_options.maxStoreDelay), [this, index, sentAt, done, fail, storeTimeThen, generation] {
             Router &writer = m_routers[index];
             if (!reaches(writer)) {
                 fail();
                 return;
             }
             writer.storeTime = storeTimeThen;
-            writer.storeTimeAt = instant();
+            writer.storeTimeAt = sentAt;
             writer.generation = std::max(writer.generation, generation);
+            writer.lease->recordWrite(sentAt, generation, instant());
             done(true);
         });
     });
@@ -150,12 +156,13 @@
 
 void RetryFleet::count(std::size_t index, std::function<void(bool)> done)
 {
+    const Instant sentAt = instant();
     const auto fail = [this, index, done] {
         whileRunning(index, s_callTimeout, [done] {
             done(false);
         });
     };
-    whileRunning(index, drawn(m_options.maxStoreDelay), [this, index, done, fail] {
+    whileRunning(index, drawn(m_options.maxStoreDelay), [this, index, sentAt, done, fail] {
         if (!reaches(m_routers[index])) {
             fail();
             return;
@@ -166,7 +173,7 @@
         }
         const StoreTimeMs storeTimeThen = storeTime();
         const StoreGeneration generation = m_generation;
-        whileRunning(index, drawn(m_options.maxStoreDelay), [this, index, done, fail, rows, storeTimeThen, generation] {
+        whileRunning(index, drawn(m_options.maxStoreDelay), [this, index, sentAt, done, fail, rows, storeTimeThen, generation] {
             Router &reader = m_routers[index];
             if (!reaches(reader) || generation < reader.generation) {
                 fail();
@@ -175,8 +182,8 @@
             reader.rowLost = generation > reader.generation;
             reader.generation = generation;
             reader.storeTime = storeTimeThen;
-            reader.storeTimeAt = instant();
-            reader.counted = std::max<std::size_t>(reader.live->update(rows, generation, storeTimeThen).size(), 1);
+            reader.storeTimeAt = sentAt;
+            reader.lease->recordCount(sentAt, reader.live->update(rows, generation, storeTimeThen), generation, instant());
             done(true);
         });
     });
@@ -221,6 +228,7 @@
         m_rows.erase(m_routers[index].name);
     }
     m_routers[index].leaving = true;
+    m_routers[index].lease->end();
     kill(index, away);
 }
 
@@ -322,7 +330,7 @@
 
 bool RetryFleet::tryRetry(Router &router)
 {
-    return router.budget->tryAcquireRetry("service", router.counted, instant());
+    return router.budget->tryAcquireRetry("service", router.lease->position("service", instant()), instant());
 }
 
 void RetryFleet::retry(std::size_t index, unsigned attempt)
--- a/src/tests/retryfleet.h
+++ b/src/tests/retryfleet.h
@@ -3,6 +3,7 @@
 #include "clock/instant.h"
 #include "gateway/retrybudget.h"
 #include "membership/liverouters.h"
+#include "membership/routerlease.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -100,8 +101,8 @@
         Duration cutUntil{};
         std::unique_ptr<RetryBudget> budget;
         std::unique_ptr<LiveRouters> live;
-        std::size_t counted = 1;
-        /// The store's time in its latest answer, and when that arrived.
+        std::unique_ptr<RouterLease> lease;
+        /// The store's time in its latest answer, and when that was asked for.
         StoreTimeMs storeTime = 0;
         Instant storeTimeAt{};
         StoreGeneration generation = 0;
--- a/src/tests/retryfleettest.cpp
+++ b/src/tests/retryfleettest.cpp
@@ -147,14 +147,28 @@
     });
 }
 
-// Guards against retries by requests that were read, and against repeats that arrive, a second after they were sent.
+// Guards against retries that are paid by requests of an earlier window, because callers' requests or retries are a second under way.
 BOOST_AUTO_TEST_CASE(slowLinksMoveRetriesIntoAnotherWindow)
 {
-    checkLimit({.routers = 4, .requestsPerSecond = 300, .maxCallerDelay = s_second, .maxSendDelay = s_second}, [](RetryFleet &fleet) {
-        fleet.at(s_failureAt + 200 * s_ms, [&fleet] {
-            fleet.setLoad(1);
-        });
-    });
+    // The requests of a burst are sent this long before targets decline; they no longer count for retries that arrive from `s_failureAt`
+    // on, or for those that arrive after most of their time to be sent.
+    for (const Duration before : {10'400 * s_ms, 9'500 * s_ms}) {
+        checkLimit({.routers = 2, .requestsPerSecond = 5, .maxCallerDelay = s_second, .maxSendDelay = s_second},
+                   [before](RetryFleet &fleet) {
+                       fleet.at(s_failureAt - before - 500 * s_ms, [&fleet] {
+                           fleet.setLoad(12'000);
+                       });
+                       fleet.at(s_failureAt - before, [&fleet] {
+                           fleet.setLoad(5);
+                       });
+                       fleet.at(s_failureAt, [&fleet] {
+                           fleet.setLoad(800);
+                       });
+                       fleet.at(s_failureAt + 200 * s_ms, [&fleet] {
+                           fleet.setLoad(5);
+                       });
+                   });
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
