Let requests bring three quarters of the retry ratio, and carry on a quarter

Change: a request brings 0.15 of a retry; what is not spent is carried on up to 0.05 for each request of the last 8 s. The bound is the same: a window's requests pay 0.15, those of the window before 0.05.

The tests of the limit hold.

--- a/src/gateway/requestretries.cpp
+++ b/src/gateway/requestretries.cpp
@@ -62,7 +62,7 @@
                  {"service", m_service},
                  {"target", target},
                  {"cause", m_cause},
-                 {"unspent_requests", static_cast<std::int64_t>(usage.unspentRequests)},
+                 {"earned", static_cast<std::int64_t>(usage.earned)},
                  {"slack_retries", static_cast<std::int64_t>(usage.slackRetries)},
                  {"routers", static_cast<std::int64_t>(position ? position->routers : 0)}});
     }
--- a/src/gateway/retrybudget.cpp
+++ b/src/gateway/retrybudget.cpp
@@ -2,21 +2,30 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace bamboohold {
 
 namespace {
 
-/// The part of a request that sums of parts may lack by rounding.
+/// What a sum of parts may lack by rounding.
 constexpr double s_rounding = 1e-9;
 
+bool coversRetry(double earned)
+{
+    return earned + s_rounding >= 1;
+}
+
+void dropBefore(std::deque<Instant> &instants, Instant limit)
+{
+    while (!instants.empty() && instants.front() < limit) {
+        instants.pop_front();
+    }
+}
+
 }
 
 RetryBudget::RetryBudget(Options options)
     : m_options(options)
-    , m_requestsPerRetry(options.ratio * options.usedShare > 0 ? 1 / (options.ratio * options.usedShare)
-                                                               : std::numeric_limits<double>::infinity())
 {
 }
 
@@ -24,25 +33,18 @@
 {
     Account &account = m_accounts[service];
     // The caller sent the request some time before it was read, and a retry arrives some time after it was taken.
-    const Duration lifetime = m_options.window - m_options.maxCallerDelay - m_options.maxSendDelay;
-    while (!account.requests.empty() && account.requests.front() + lifetime < now) {
-        account.requests.pop_front();
-        account.spentOfOldest = 0;
-    }
-    while (!account.slackRetries.empty() && account.slackRetries.front() + m_options.span() < now) {
-        account.slackRetries.pop_front();
-    }
+    dropBefore(account.requests, now - (m_options.window - m_options.maxCallerDelay - m_options.maxSendDelay));
+    dropBefore(account.slackRetries, now - m_options.span());
+    const double carried = m_options.ratio * m_options.carriedShare * static_cast<double>(account.requests.size());
+    account.earned = std::min(account.earned, carried);
     return account;
 }
 
 void RetryBudget::recordRequest(const std::string &service, Instant now)
 {
-    account(service, now).requests.push_back(now);
-}
-
-bool RetryBudget::coveredByRequests(const Account &account) const
-{
-    return static_cast<double>(account.requests.size()) - account.spentOfOldest + s_rounding >= m_requestsPerRetry;
+    Account &current = account(service, now);
+    current.requests.push_back(now);
+    current.earned += m_options.ratio * m_options.usedShare;
 }
 
 std::size_t RetryBudget::slackShare(FleetPosition position) const
@@ -55,7 +57,7 @@
 bool RetryBudget::hasRetry(const std::string &service, std::optional<FleetPosition> position, Instant now)
 {
     const Account &current = account(service, now);
-    return coveredByRequests(current) || (position && current.slackRetries.size() < slackShare(*position));
+    return coversRetry(current.earned) || (position && current.slackRetries.size() < slackShare(*position));
 }
 
 bool RetryBudget::tryAcquireRetry(const std::string &service, std::optional<FleetPosition> position, Instant now)
@@ -64,24 +66,18 @@
         return false;
     }
     Account &current = account(service, now);
-    if (!coveredByRequests(current)) {
+    if (coversRetry(current.earned)) {
+        current.earned = std::max(current.earned - 1, 0.0);
+    } else {
         current.slackRetries.push_back(now);
-        return true;
-    }
-    // Of the oldest requests first, as they expire first.
-    current.spentOfOldest += m_requestsPerRetry;
-    while (current.spentOfOldest + s_rounding >= 1) {
-        current.requests.pop_front();
-        current.spentOfOldest -= 1;
     }
-    current.spentOfOldest = current.requests.empty() ? 0 : std::max(current.spentOfOldest, 0.0);
     return true;
 }
 
 RetryBudget::Usage RetryBudget::usage(const std::string &service, Instant now)
 {
     const Account &current = account(service, now);
-    return {.unspentRequests = current.requests.size(), .slackRetries = current.slackRetries.size()};
+    return {.earned = current.earned, .slackRetries = current.slackRetries.size()};
 }
 
 }
--- a/src/gateway/retrybudget.h
+++ b/src/gateway/retrybudget.h
@@ -17,9 +17,10 @@
 /// The limit applies to all routers together, in every window: a ratio of the requests, and a slack. Neither part depends on what a router
 /// did before it started.
 ///
-/// Each request brings a part of a retry, at the router that reads it, and that router spends it within the window. The requests of a
-/// window and those of the one before can pay for the retries of a window, so a request brings half of the ratio. Routers need to know
-/// nothing of each other for this, and one that starts again has nothing to spend.
+/// Each request brings a part of a retry, at the router that reads it. What a router has not spent is carried on, up to another part of the
+/// requests that it has read lately. So a window's retries are paid by its own requests with the one part and by those of the window before
+/// with the other; the two parts make up the ratio, and the limit counts the larger window. Routers need to know nothing of each other for
+/// this, and one that starts again has nothing to spend.
 ///
 /// The slack is divided among the routers that have a position in the fleet, see RouterLease. Does no I/O.
 class RetryBudget
@@ -31,8 +32,9 @@
         /// Additional retries within the window, for all routers together.
         double slack = 58;
         Duration window = std::chrono::seconds(10);
-        /// The part of the ratio that a request brings.
-        double usedShare = 0.5;
+        /// The part of the ratio that a request brings, and the part up to which it is carried on. Together 1, or the limit is not kept.
+        double usedShare = 0.75;
+        double carriedShare = 0.25;
         /// The longest time from the moment at which a caller sends a request until this router reads it. Callers give up after it.
         Duration maxCallerDelay = std::chrono::seconds(1);
         /// The longest time from the moment at which a retry is taken until it arrives at its target. Covers a lost packet.
@@ -47,7 +49,7 @@
 
     /// What this router has to retry by, and the retries that it has taken out of the slack within the span.
     struct Usage {
-        std::size_t unspentRequests = 0;
+        double earned = 0;
         std::size_t slackRetries = 0;
     };
 
@@ -66,21 +68,18 @@
 
 private:
     struct Account {
-        /// Requests of which something is left to spend.
+        /// The requests that were read lately.
         std::deque<Instant> requests;
-        /// What the oldest of them has paid already, from 0 to 1.
-        double spentOfOldest = 0;
+        /// The retries that requests have brought, less those that they have paid.
+        double earned = 0;
         /// When retries of the slack were taken.
         std::deque<Instant> slackRetries;
     };
 
     Account &account(const std::string &service, Instant now);
-    /// Whether the requests pay for a retry.
-    bool coveredByRequests(const Account &account) const;
     std::size_t slackShare(FleetPosition position) const;
 
     Options m_options;
-    double m_requestsPerRetry = 0;
     absl::flat_hash_map<std::string, Account> m_accounts;
 };
 
--- a/src/tests/retrybudgettest.cpp
+++ b/src/tests/retrybudgettest.cpp
@@ -19,7 +19,7 @@
     constexpr std::size_t s_routers = 5;
     constexpr FleetPosition s_position{.rank = 4, .routers = s_routers};
     constexpr int s_requests = 400;
-    RetryBudget budget({.ratio = 0.2, .slack = 50, .window = std::chrono::seconds(10), .usedShare = 1});
+    RetryBudget budget({.ratio = 0.2, .slack = 50, .window = std::chrono::seconds(10), .usedShare = 1, .carriedShare = 1});
     Instant now = Instant(std::chrono::seconds(5));
     int granted = 0;
     for (int count = 0; count < s_requests; ++count) {
@@ -34,7 +34,7 @@
 
 BOOST_AUTO_TEST_CASE(servicesHaveSeparateBudgets)
 {
-    RetryBudget budget({.ratio = 0, .slack = 1, .window = std::chrono::seconds(10), .usedShare = 1});
+    RetryBudget budget({.ratio = 0, .slack = 1, .window = std::chrono::seconds(10), .usedShare = 1, .carriedShare = 1});
     const Instant now = Instant(std::chrono::seconds(5));
     BOOST_TEST(budget.tryAcquireRetry("one", s_alone, now));
     BOOST_TEST(!budget.tryAcquireRetry("one", s_alone, now));
