Count requests for the retry limit from the reading of their heads

Cause: a request brought its part of a retry when it was admitted, after its body had been read, but was counted by the time of its head. One that waited long for its body could so pay for a retry in a window after the one that the limit counts it in. Found by reading the change.

Change: it counts as soon as its head is read, also if it is refused afterwards, as the limit counts those too; requests that are recorded late are sorted by their times.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -215,6 +215,7 @@
 
 absl::Status RequestHandler::admitToHost()
 {
+    m_retries.begin(m_metadata.requestId, m_serviceName, m_arrived);
     m_share.arrive(shareRequest(), m_arrived);
     if (m_gateway.refusesAsFull(m_route->latencyObjective, m_arrived) && !m_share.isPromised()) {
         countHostRefusal("full");
@@ -247,7 +248,6 @@
     }
     m_countedStream = m_route->repeatability == Repeatability::Stream;
     m_gateway.m_streamsInFlight += m_countedStream ? 1 : 0;
-    m_retries.begin(m_metadata.requestId, m_serviceName, m_arrived);
     return absl::OkStatus();
 }
 
--- a/src/gateway/requestretries.h
+++ b/src/gateway/requestretries.h
@@ -26,7 +26,8 @@
     /// Whether to try another target after this many, with so much time left.
     static bool worthTrying(std::size_t targetsTried, Duration timeLeft);
 
-    /// The request was read at `arrived` and is admitted to the service.
+    /// The head of the request for the service was read at `arrived`. Call also for requests that are refused afterwards, as the limit
+    /// counts them.
     void begin(std::string_view requestId, const std::string &service, Instant arrived);
 
     /// Whether the request may be sent to another target now. It is no retry as long as no attempt has sent it.
--- a/src/gateway/retrybudget.cpp
+++ b/src/gateway/retrybudget.cpp
@@ -40,10 +40,10 @@
     return account;
 }
 
-void RetryBudget::recordRequest(const std::string &service, Instant now)
+void RetryBudget::recordRequest(const std::string &service, Instant readAt)
 {
-    Account &current = account(service, now);
-    current.requests.push_back(now);
+    Account &current = account(service, readAt);
+    current.requests.insert(std::ranges::upper_bound(current.requests, readAt), readAt);
     current.earned += m_options.ratio * m_options.usedShare;
 }
 
--- a/src/gateway/retrybudget.h
+++ b/src/gateway/retrybudget.h
@@ -55,8 +55,8 @@
 
     explicit RetryBudget(Options options);
 
-    /// Records that a request for the service was read.
-    void recordRequest(const std::string &service, Instant now);
+    /// Records that a request for the service was read at this time, which may be earlier than that of others that were recorded.
+    void recordRequest(const std::string &service, Instant readAt);
 
     /// Whether a retry could be taken now.
     bool hasRetry(const std::string &service, std::optional<FleetPosition> position, Instant now);
--- a/src/tests/retrybudgettest.cpp
+++ b/src/tests/retrybudgettest.cpp
@@ -41,4 +41,22 @@
     BOOST_TEST(budget.tryAcquireRetry("two", s_alone, now));
 }
 
+// Guards against requests that count from the end of a long wait, and so pay for retries in a window after theirs.
+BOOST_AUTO_TEST_CASE(requestsCountFromTheTimeAtWhichTheyWereRead)
+{
+    constexpr int s_requests = 100;
+    RetryBudget budget({.slack = 0});
+    const Instant readAt = Instant(std::chrono::seconds(5));
+    const Instant now = readAt + std::chrono::seconds(9);
+    budget.recordRequest("service", now - std::chrono::seconds(1));
+    for (int count = 0; count < s_requests; ++count) {
+        budget.recordRequest("service", readAt);
+    }
+    BOOST_TEST(!budget.tryAcquireRetry("service", std::nullopt, now));
+    for (int count = 0; count < s_requests; ++count) {
+        budget.recordRequest("service", now);
+    }
+    BOOST_TEST(budget.tryAcquireRetry("service", std::nullopt, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
