--- a/src/tests/retryfleettest.cpp
+++ b/src/tests/retryfleettest.cpp
@@ -49,7 +49,7 @@
     });
 }
 
-// As above, with most of the routers of a larger fleet each time, and within one window after the restart that no retries preceded.
+// Guards against the same in a larger fleet, where other routers run each time.
 BOOST_AUTO_TEST_CASE(mostRoutersRestartedInSeries)
 {
     checkLimit({.routers = 10, .requestsPerSecond = 200}, [](RetryFleet &fleet) {
