Never parse a part of a last chunk twice

What callers saw: a target whose answer in chunks has no body, and whose "0" line arrives apart from the line after it, or a client whose request does, ended the router with SIGABRT, and all its callers lost their connections. Cause: Beast's parser remembers that it has seen the last chunk and asserts that the next call has five bytes of it at least. With a body before it there are two bytes more; without one, "0\r\n" and then "\r" make four. Found by AnswerParserTest's drawn answers while they were written. Change: ParserFeed passes bytes to Beast's parsers for answers (AnswerReader, in place of Beast's composed reads) and requests (RequestReader), waits for five bytes once a line between chunks was incomplete, and turns a field that is too long for Beast's container into an error. The suites around HttpClient and HttpServer hold as before.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -187,13 +186,15 @@
     co_return absl::OkStatus();
 }
 
-asio::awaitable<absl::Status> HttpClient::receiveHead(Connection &connection, std::optional<AnswerParser> &parser, Instant by)
+asio::awaitable<absl::Status>
+HttpClient::receiveHead(Connection &connection, std::optional<AnswerParser> &parser, std::optional<AnswerReader> &reader, Instant by)
 {
     for (int skipped = 0; skipped <= s_maxSkippedReplies; ++skipped) {
         parser.emplace(AnswerParser::Options{.maxPartBytes = s_maxReplyBytes});
         parser->body_limit(s_maxReplyBytes);
         connection.stream.expires_after(timeUntil(by));
-        const auto [error, size] = co_await http::async_read_header(connection.stream, connection.buffer, *parser, s_tuple);
+        reader.emplace(connection.stream, connection.buffer, *parser);
+        const auto [error, size] = co_await reader->readHead();
         countReceived(size);
         if (error) {
             co_return connectionFailure(error, Executed::Unknown);
@@ -209,7 +210,8 @@
 HttpClient::receive(Connection &connection, std::optional<AnswerParser> &received, const HttpCallOptions &options, HttpReply &reply)
 {
     const Instant startedAt = steadyNow();
-    const absl::Status head = co_await receiveHead(connection, received, startedAt + options.timeout);
+    std::optional<AnswerReader> reader;
+    const absl::Status head = co_await receiveHead(connection, received, reader, startedAt + options.timeout);
     if (!head.ok()) {
         co_return head;
     }
@@ -226,7 +228,7 @@
             co_return failed(FailureKind::TargetLost, "the answer does not end", Executed::Unknown);
         }
         connection.stream.expires_after(std::min(timeUntil(by), options.stallTimeout));
-        const auto [error, size] = co_await http::async_read_some(connection.stream, connection.buffer, parser, s_tuple);
+        const auto [error, size] = co_await reader->readSome();
         countReceived(size);
         if (error) {
             // The number of received bytes distinguishes a peer that fell silent from one whose answer takes longer than the time limit.
@@ -367,7 +369,8 @@
     }
     m_parser.emplace(AnswerParser::Options{.withoutBody = m_options.method == "HEAD"});
     const std::shared_ptr<Wait> wait = beginWait(by);
-    const auto [error, size] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, s_tuple);
+    m_reader.emplace(m_connection->stream, m_connection->buffer, *m_parser);
+    const auto [error, size] = co_await m_reader->readHead();
     const bool timedOut = endWait(*wait);
     m_client.countReceived(size);
     if (error) {
@@ -454,7 +457,7 @@
             co_return failed(FailureKind::AnswerIncomplete, "no part of the body came in time", Executed::Yes);
         }
         const std::shared_ptr<Wait> wait = beginWait(by);
-        const auto [error, size] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, s_tuple);
+        const auto [error, size] = co_await m_reader->readSome();
         const bool timedOut = endWait(*wait);
         by = wait->by;
         m_client.countReceived(size);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "clock/instant.h"
 #include "net/answerparser.h"
+#include "net/answerreader.h"
 #include "net/httpserver.h"
 #include "net/traffic.h"
 
@@ -139,7 +140,8 @@
     asio::awaitable<absl::Status> send(ConnectionPtr connection, std::shared_ptr<HttpRequest> request);
     void countReceived(std::size_t bytes);
     /// Reads the head of the final answer, after those of a few interim ones.
-    asio::awaitable<absl::Status> receiveHead(Connection &connection, std::optional<AnswerParser> &parser, Instant by);
+    asio::awaitable<absl::Status>
+    receiveHead(Connection &connection, std::optional<AnswerParser> &parser, std::optional<AnswerReader> &reader, Instant by);
     asio::awaitable<absl::Status>
     receive(Connection &connection, std::optional<AnswerParser> &received, const HttpCallOptions &options, HttpReply &reply);
     void keepForReuse(ConnectionPtr connection, const http::fields &answer);
@@ -222,6 +224,7 @@
     HttpCallOptions m_options;
     HttpClient::ConnectionPtr m_connection;
     std::optional<AnswerParser> m_parser;
+    std::optional<AnswerReader> m_reader;
     /// Bytes of the current answer after its head, and those of its body.
     std::size_t m_receivedBytes = 0;
     std::size_t m_bodyBytes = 0;
--- a/src/net/requestreader.cpp
+++ b/src/net/requestreader.cpp
@@ -83,13 +83,7 @@
 
 boost::system::error_code RequestReader::parse()
 {
-    boost::system::error_code error;
-    if (m_buffer.size() > 0) {
-        const std::size_t parsed = m_parser.put(m_buffer.data(), error);
-        m_buffer.consume(parsed);
-        m_receivedBytes += parsed;
-    }
-    return error;
+    return m_buffer.size() > 0 ? m_feed.feed(m_parser, m_buffer, m_receivedBytes) : boost::system::error_code();
 }
 
 asio::awaitable<boost::system::error_code> RequestReader::readSome()
--- a/src/net/requestreader.h
+++ b/src/net/requestreader.h
@@ -3,6 +3,7 @@
 #include "net/clientconnection.h"
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
+#include "net/parserfeed.h"
 #include "net/readturns.h"
 #include "net/traffic.h"
 
@@ -113,6 +114,7 @@
     const HttpLimits m_limits;
     std::shared_ptr<Traffic> m_traffic;
     http::request_parser<HttpRequest::body_type> m_parser;
+    ParserFeed m_feed;
     /// There was no room for the head.
     bool m_refusedRoom = false;
     /// What the fields of the head take in memory.
--- a/src/tests/answerparsertest.cpp
+++ b/src/tests/answerparsertest.cpp
@@ -1,4 +1,5 @@
 #include "net/answerparser.h"
+#include "net/parserfeed.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -27,12 +28,12 @@
 };
 
 /// Parses all that has arrived. Returns need_more if more is needed.
-boost::system::error_code parse(AnswerParser &parser, std::string &arrived, std::string &body)
+boost::system::error_code parse(AnswerParser &parser, ParserFeed &feed, boost::beast::flat_buffer &arrived, std::string &body)
 {
     boost::system::error_code error;
-    while (!parser.is_done() && !error && (!arrived.empty() || !parser.got_some())) {
-        const std::size_t used = parser.put(boost::asio::buffer(arrived), error);
-        arrived.erase(0, used);
+    std::size_t parsed = 0;
+    while (!parser.is_done() && !error && (arrived.size() > 0 || !parser.got_some())) {
+        error = feed.feed(parser, arrived, parsed);
         body += parser.takeBody();
         if (error == http::error::need_buffer) {
             error = {};
@@ -46,13 +47,14 @@
 {
     Reading reading;
     AnswerParser parser(options);
-    std::string arrived;
+    ParserFeed feed;
+    boost::beast::flat_buffer arrived;
     std::size_t at = 0;
     for (std::size_t part = 0; at < bytes.size() && !parser.is_done() && !reading.error; ++part) {
         const std::size_t size = std::min<std::size_t>(parts[part % parts.size()], bytes.size() - at);
-        arrived += bytes.substr(at, size);
+        arrived.commit(boost::asio::buffer_copy(arrived.prepare(size), boost::asio::buffer(bytes.substr(at, size))));
         at += size;
-        reading.error = parse(parser, arrived, reading.body);
+        reading.error = parse(parser, feed, arrived, reading.body);
         if (reading.error == http::error::need_more) {
             reading.error = {};
         }
@@ -222,6 +224,25 @@
     BOOST_TEST(read(answer(s_ok, "Transfer-Encoding: chunked\r\n", "4;a=b;c=\"d\"\r\nbody\r\n000\r\n\r\n")).body == "body");
 }
 
+// Guards against bytes that end the process, however they arrive: an empty body in chunks that comes byte by byte did.
+BOOST_AUTO_TEST_CASE(noBytesEndTheProcess)
+{
+    const std::string head = answer(s_ok, "Transfer-Encoding: chunked\r\n", "");
+    BOOST_TEST(read(head + "0\r\n\r\n", true, {1}).complete);
+    const bool passed = rc::check("bytes are an answer, or none", [&head] {
+        const auto piece = rc::gen::element<std::string>(
+            "0", "1", "3", "a", "\r\n", "\r", "\n", ";", "x", "=", "\"", ": ", " ", "X: y\r\n", "0\r\n", "\r\n\r\n");
+        std::string rest;
+        for (const std::string &text : *rc::gen::container<std::vector<std::string>>(piece)) {
+            rest += text;
+        }
+        const std::vector<int> parts = *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 4)));
+        const std::string first = *rc::gen::element<std::string>("", head, head + "3\r\nabc\r\n");
+        read(first + rest, true, parts);
+    });
+    BOOST_TEST(passed);
+}
+
 // Guards against a trailer that overwrites what the head says, and against one whose size makes the parser throw.
 BOOST_AUTO_TEST_CASE(trailersAreDropped)
 {
--- a/src/tests/answersbrokenofftest.cpp
+++ b/src/tests/answersbrokenofftest.cpp
@@ -188,6 +188,18 @@
     }
 }
 
+// Guards against an empty body in chunks whose end arrives in parts and ends the router.
+BOOST_AUTO_TEST_CASE(lastChunkMayArriveInParts)
+{
+    for (const std::string path : {"/once/", "/stream/", "/resume/"}) {
+        const PeerAction parts{.bytes = streamResponseHead(s_headers) + "0\r\n",
+                               .ending = PeerEnding::Close,
+                               .pause = std::chrono::milliseconds(20),
+                               .afterPause = "\r"};
+        BOOST_TEST(GatewayFixture({{parts}}).exchange(request(path)).starts_with("HTTP/1.1 502 "));
+    }
+}
+
 // Guards against a target that breaks off its streams and keeps getting them because each counts as a success.
 BOOST_AUTO_TEST_CASE(brokenStreamsCountAgainstTheirTarget)
 {
--- a/src/tests/httpservertest.cpp
+++ b/src/tests/httpservertest.cpp
@@ -40,6 +40,25 @@
 
 BOOST_AUTO_TEST_SUITE(HttpServerTest)
 
+// Guards against a client that ends an empty body in chunks byte by byte, and the process with it.
+BOOST_AUTO_TEST_CASE(lastChunkMayArriveInParts)
+{
+    constexpr std::uint16_t port = 18450;
+    WorkerPool pool(1);
+    HttpServer server(pool, {.address = ownAddress(), .port = port, .exclusive = true}, respondEmpty);
+    BOOST_REQUIRE(server.open().ok());
+    asio::io_context callers;
+    asio::ip::tcp::socket connection(callers);
+    connection.connect({asio::ip::make_address(ownAddress()), port});
+    connection.set_option(asio::ip::tcp::no_delay(true));
+    const std::string head = "POST / HTTP/1.1\r\nHost: router\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &part : {head, std::string("0\r\n"), std::string("\r"), std::string("\n")}) {
+        asio::write(connection, asio::buffer(part));
+        pool.mainLoop().run_for(std::chrono::milliseconds(20));
+    }
+    BOOST_TEST(receivedAfterShutdown(connection, pool).starts_with("HTTP/1.1 200 "));
+}
+
 // Guards against accepting one connection per turn of the loop. On a host with little processor time a turn takes tens of milliseconds, so
 // connections that were opened together waited in the kernel's backlog for seconds and their callers disconnected before a request was
 // read.
