End a request, not the process, on an exception

Cause: HttpServer passed exceptions of a session on to the event loop on purpose, since what the request held of the router was not known to be released. Change: an exception in an attempt ends the request through the ordinary accounting: the attempt may have run, tokens are settled, the target gets its place back, nothing is tried again, and the caller is told 502 or loses its connection in the middle of the answer. Elsewhere in a request the handler's caller is told 502, and a session that ends with an exception is logged (server.exception, attempt.exception). The measuring of answers moved to requesthandleranswer.cpp unchanged.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -27,12 +27,6 @@
 constexpr std::int64_t s_retryAfterStartupMs = 700;
 /// One in this many requests that were answered within their objective is logged, and all others.
 constexpr std::uint64_t s_successLogInterval = 32;
-/// Pauses of shorter streams, and of those whose caller took more than this part of the time to be written to, are not measured.
-constexpr std::size_t s_minEventsMeasured = 8;
-constexpr int s_minStreamingPerWriting = 10;
-/// The first byte of an answer that is not a stream follows its last token. With more tokens than this, the time depends mostly on how many
-/// were generated.
-constexpr Tokens s_maxUnstreamedTokens = 16;
 constexpr unsigned s_minSuccessStatus = 200;
 constexpr unsigned s_minRedirectStatus = 300;
 
@@ -404,47 +398,6 @@
     }
 }
 
-void RequestHandler::recordFirstByte()
-{
-    m_lastReceivedAt = steadyNow();
-    if (!m_firstByteReceived) {
-        m_firstByteReceived = true;
-        m_gateway.m_board.firstByteReceived(m_placement->incarnation, m_placement->uncachedTokens, m_attemptSentAt);
-        m_gateway.m_chooser.reportLoad(m_placement->incarnation);
-        // Only an answer of the target shows how fast it is.
-        if (m_activeCall != nullptr && m_hasSuccessStatus) {
-            m_gateway.m_dispatcher.firstByteReceived(
-                m_serviceName, m_metadata.worstCaseTokens(), *m_placement, m_lastReceivedAt - m_attemptSentAt);
-        }
-        m_gateway.m_dispatcher.capacityMayHaveGrown(m_serviceName);
-    }
-}
-
-void RequestHandler::measureFirstByte()
-{
-    if (m_firstByteReceived || !m_hasSuccessStatus) {
-        return;
-    }
-    m_attemptFirstByteAt = steadyNow();
-    const bool streamed = m_route->repeatability == Repeatability::Stream;
-    if (streamed || m_metadata.maxOutputTokens <= s_maxUnstreamedTokens) {
-        m_gateway.m_board.measureFirstByte(*m_placement, streamed, m_attemptSentAt, m_attemptFirstByteAt);
-    }
-}
-
-void RequestHandler::measureCompletion()
-{
-    ServiceSpeed::Completion answer{.occupied = m_lastReceivedAt - m_attemptSentAt};
-    const std::size_t events = m_eventParser.eventCount() - m_eventsBeforeAttempt;
-    const Duration streaming = m_lastReceivedAt - m_attemptFirstByteAt;
-    // While a slow caller is written to, nothing is read from the target.
-    if (events >= s_minEventsMeasured && m_writingTime < streaming / s_minStreamingPerWriting) {
-        answer.streaming = streaming;
-        answer.pauses = events - 1;
-    }
-    m_gateway.m_board.measureCompletion(m_placement->incarnation, answer, steadyNow());
-}
-
 void RequestHandler::recordAttemptOutcome(AttemptOutcome outcome)
 {
     if (outcome == AttemptOutcome::Delivered && m_hasSuccessStatus) {
@@ -486,7 +439,8 @@
 {
     const bool retryableOutcome =
         outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::Incomplete;
-    if (!retryableOutcome || m_callerDisconnected || !RequestRetries::worthTrying(m_triedTargets.size(), m_deadline - now)) {
+    if (!retryableOutcome || m_failedInside || m_callerDisconnected
+        || !RequestRetries::worthTrying(m_triedTargets.size(), m_deadline - now)) {
         return false;
     }
     // On a congested link each further target would cost another connection timeout, and the caller can still be served through another
@@ -571,6 +525,21 @@
 }
 
 asio::awaitable<AttemptOutcome> RequestHandler::runAttempt(const Placement &placement)
+{
+    try {
+        const AttemptOutcome outcome = co_await callTarget(placement);
+        co_return outcome;
+    } catch (const std::exception &exception) {
+        m_activeCall = nullptr;
+        m_targetSign = HealthSignal::Neutral;
+        m_lastError = absl::StrCat("exception: ", exception.what());
+        m_failedInside = true;
+    }
+    logLine(Severity::Error, "attempt.exception", {{"request", m_metadata.requestId}, {"detail", m_lastError}});
+    co_return AttemptOutcome::Incomplete;
+}
+
+asio::awaitable<AttemptOutcome> RequestHandler::callTarget(const Placement &placement)
 {
     HttpCallOptions options = callOptions(placement, m_attemptSentAt);
     const std::shared_ptr<HttpClient> client = m_gateway.clientFor(placement);
@@ -650,8 +619,8 @@
         m_exchange.abortConnection();
         co_return;
     }
-    if (m_streamStarted) {
-        // Closes the connection without the final chunk, so that the caller does not take the stream for complete.
+    if (m_streamStarted || m_exchange.answered()) {
+        // Closes the connection without the end of the answer, so that the caller does not take it for complete.
         logRequestEnd("stream_cut", summary);
         m_exchange.abortConnection();
         co_return;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -85,7 +85,9 @@
     /// Finds the first target, for which the request may have to wait. Sets `m_refusal` when it is not to be sent.
     asio::awaitable<std::optional<Placement>> placeFirst(PlacementRequest wish);
     Failure queueFailure(QueueRefusal refusal);
+    /// Sends the request to a target and its answer to the caller. An exception ends the request, and is logged.
     asio::awaitable<AttemptOutcome> runAttempt(const Placement &placement);
+    asio::awaitable<AttemptOutcome> callTarget(const Placement &placement);
     asio::awaitable<AttemptOutcome> receiveResponse(HttpStreamCall &call);
     asio::awaitable<AttemptOutcome> receiveBufferedResponse(HttpStreamCall &call);
     /// Makes room for the next piece of a response. Returns false if there is none until the deadline.
@@ -163,6 +165,8 @@
     bool m_callerDisconnected = false;
     /// The request is refused because of the load of this host, which is to cost it little.
     bool m_refusedByHost = false;
+    /// An exception ended an attempt.
+    bool m_failedInside = false;
     HttpStreamCall *m_activeCall = nullptr;
 
     EventStreamParser m_eventParser;
--- a/src/gateway/requesthandleranswer.cpp
+++ b/src/gateway/requesthandleranswer.cpp
@@ -19,6 +19,12 @@
 /// The most that a response grows by at a time.
 constexpr std::size_t s_pieceBytes = 16 * 1024;
 constexpr unsigned s_minServerErrorStatus = 500;
+/// Pauses of shorter streams, and of those whose caller took more than this part of the time to be written to, are not measured.
+constexpr std::size_t s_minEventsMeasured = 8;
+constexpr int s_minStreamingPerWriting = 10;
+/// The first byte of an answer that is not a stream follows its last token. With more tokens than this, the time depends mostly on how many
+/// were generated.
+constexpr Tokens s_maxUnstreamedTokens = 16;
 /// A target keeps streams waiting if it does so with this part of them.
 constexpr std::size_t s_stallingPart = 4;
 
@@ -135,6 +141,47 @@
     return steadyNow() >= m_deadline ? AttemptOutcome::TimedOut : AttemptOutcome::Incomplete;
 }
 
+void RequestHandler::recordFirstByte()
+{
+    m_lastReceivedAt = steadyNow();
+    if (!m_firstByteReceived) {
+        m_firstByteReceived = true;
+        m_gateway.m_board.firstByteReceived(m_placement->incarnation, m_placement->uncachedTokens, m_attemptSentAt);
+        m_gateway.m_chooser.reportLoad(m_placement->incarnation);
+        // Only an answer of the target shows how fast it is.
+        if (m_activeCall != nullptr && m_hasSuccessStatus) {
+            m_gateway.m_dispatcher.firstByteReceived(
+                m_serviceName, m_metadata.worstCaseTokens(), *m_placement, m_lastReceivedAt - m_attemptSentAt);
+        }
+        m_gateway.m_dispatcher.capacityMayHaveGrown(m_serviceName);
+    }
+}
+
+void RequestHandler::measureFirstByte()
+{
+    if (m_firstByteReceived || !m_hasSuccessStatus) {
+        return;
+    }
+    m_attemptFirstByteAt = steadyNow();
+    const bool streamed = m_route->repeatability == Repeatability::Stream;
+    if (streamed || m_metadata.maxOutputTokens <= s_maxUnstreamedTokens) {
+        m_gateway.m_board.measureFirstByte(*m_placement, streamed, m_attemptSentAt, m_attemptFirstByteAt);
+    }
+}
+
+void RequestHandler::measureCompletion()
+{
+    ServiceSpeed::Completion answer{.occupied = m_lastReceivedAt - m_attemptSentAt};
+    const std::size_t events = m_eventParser.eventCount() - m_eventsBeforeAttempt;
+    const Duration streaming = m_lastReceivedAt - m_attemptFirstByteAt;
+    // While a slow caller is written to, nothing is read from the target.
+    if (events >= s_minEventsMeasured && m_writingTime < streaming / s_minStreamingPerWriting) {
+        answer.streaming = streaming;
+        answer.pauses = events - 1;
+    }
+    m_gateway.m_board.measureCompletion(m_placement->incarnation, answer, steadyNow());
+}
+
 asio::awaitable<bool> RequestHandler::growResponse(std::string &body)
 {
     const std::size_t needed = body.size() + s_pieceBytes;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -69,6 +69,19 @@
     return {.status = 400, .cause = ClientRefusal::Invalid, .detail = "the request is not valid HTTP, or consists mostly of framing"};
 }
 
+/// Logs what ended a request or its connection. Nothing else is concerned: both release what they hold as they are destroyed.
+void logException(const std::exception_ptr &problem)
+{
+    std::string detail = "an unknown exception";
+    try {
+        std::rethrow_exception(problem);
+    } catch (const std::exception &exception) {
+        detail = exception.what();
+    } catch (...) {
+    }
+    logLine(Severity::Error, "server.exception", {{"detail", detail}});
+}
+
 }
 
 HttpServer::HttpServer(WorkerPool &pool, Options options, HttpHandler handler)
@@ -237,8 +250,7 @@
     asio::co_spawn(executor, serveConnection(listener, std::move(socket)), [this](const std::exception_ptr &problem) {
         --m_connections;
         if (problem) {
-            // A handler that throws has left its caller without an answer, and its own state may be inconsistent.
-            std::rethrow_exception(problem);
+            logException(problem);
         }
     });
 }
@@ -392,12 +404,32 @@
             co_return false;
         }
     }
-    co_await m_handler(exchange);
+    co_await handle(exchange);
     count(exchange.answered() ? &CallerCounts::answered : &CallerCounts::leftUnanswered);
     session.hasServed = true;
     co_return exchange.keepAlive();
 }
 
+asio::awaitable<void> HttpServer::handle(HttpExchange &exchange)
+{
+    std::exception_ptr problem;
+    try {
+        co_await m_handler(exchange);
+    } catch (...) {
+        problem = std::current_exception();
+    }
+    if (!problem) {
+        co_return;
+    }
+    logException(problem);
+    if (exchange.answered()) {
+        exchange.abortConnection();
+        co_return;
+    }
+    exchange.setConnectionClose();
+    co_await respondFailure(exchange, FailureKind::EngineFailed, "the request could not be handled");
+}
+
 asio::awaitable<bool> HttpServer::readBody(Session &session, RequestReader &reader, HttpExchange &exchange, BodyUse use)
 {
     const Instant headReadAt = steadyNow();
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -126,6 +126,8 @@
     void startSession(Listener &listener, asio::ip::tcp::socket socket);
     asio::awaitable<void> serveConnection(Listener &listener, asio::ip::tcp::socket socket);
     asio::awaitable<bool> serveRequest(Session &session);
+    /// Calls the handler. If it throws, its caller is told that the request failed, or loses its connection in the middle of the answer.
+    asio::awaitable<void> handle(HttpExchange &exchange);
     asio::awaitable<bool> awaitRequest(Session &session, const HttpLimits &limits);
     asio::awaitable<bool> readBody(Session &session, RequestReader &reader, HttpExchange &exchange, BodyUse use);
     void count(std::atomic<std::uint64_t> CallerCounts::*number);
