Do not take a reset that the request has met for the end of its answer

Cause: a socket reports a reset once, to whichever of write and read asks first. Where both wait, the kernel's event runs the write first; its failure was thrown away, and the read then saw a plain end, which is the proper end of an answer without a length. Change: each connection remembers how far its request has been sent (SendState), and AnswerParser takes the end of a connection for the end of an answer only if the whole request had been sent before and nothing failed. Answers with a length or in chunks have an end of their own and are passed on as before, while the request is still being written. TcpRelay keeps to the same rule for what it closes in order. AnswerParserTest draws how far the request has been sent.

--- a/src/net/answerparser.cpp
+++ b/src/net/answerparser.cpp
@@ -30,8 +30,9 @@
     return "connection";
 }
 
-AnswerParser::AnswerParser(Options options)
-    : m_options(options)
+AnswerParser::AnswerParser(const SendState &request, Options options)
+    : m_request(request)
+    , m_options(options)
 {
     skip(options.withoutBody);
     body_limit(boost::none);
@@ -101,4 +102,11 @@
     return append(body, error);
 }
 
+void AnswerParser::on_finish_impl(ErrorCode &error)
+{
+    if (framing() == AnswerFraming::Connection && !isOrderlyClose(m_request)) {
+        error = http::error::partial_message;
+    }
+}
+
 }
--- a/src/net/answerparser.h
+++ b/src/net/answerparser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/sendstate.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/fields.hpp>
 
@@ -23,10 +25,11 @@
 /// Returns the name of the framing as it appears in logs.
 std::string_view framingName(AnswerFraming framing);
 
-/// Parses one answer, for everything that reads answers. Pure: bytes, or the end of the connection, in; the answer out. Never throws
-/// because of what it parses.
+/// Parses one answer, and decides for everything that reads answers when it is complete. Pure: bytes, or the end of the connection, in; the
+/// answer out. Never throws because of what it parses.
 ///
-/// Besides the errors of its base it fails with `bad_chunk_extension` for extensions without end.
+/// Besides the errors of its base it fails with `bad_chunk_extension` for extensions without end, and with `partial_message` for a
+/// connection that did not close in order.
 class AnswerParser : public boost::beast::http::basic_parser<false>
 {
 public:
@@ -38,7 +41,8 @@
         std::size_t maxPartBytes = 16 * 1024;
     };
 
-    explicit AnswerParser(Options options);
+    /// `request` tells how far the request has been sent on the connection that the answer arrives on. It must outlive this object.
+    AnswerParser(const SendState &request, Options options);
 
     /// The status code, once the head is complete.
     unsigned status() const
@@ -88,11 +92,10 @@
     std::size_t on_body_impl(StringView body, ErrorCode &error) override;
     void on_chunk_header_impl(std::uint64_t size, StringView extensions, ErrorCode &error) override;
     std::size_t on_chunk_body_impl(std::uint64_t remain, StringView body, ErrorCode &error) override;
-    void on_finish_impl(ErrorCode &) override
-    {
-    }
+    void on_finish_impl(ErrorCode &error) override;
     // NOLINTEND(readability-identifier-naming)
 
+    const SendState &m_request;
     Options m_options;
     unsigned m_status = 0;
     boost::beast::http::fields m_fields;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -166,7 +166,7 @@
 
 asio::awaitable<absl::Status> HttpClient::send(ConnectionPtr connection, std::shared_ptr<HttpRequest> request)
 {
-    connection->writing = true;
+    connection->request = SendState::Sending;
     // The write may outlive this object: it runs beside the read of the answer, whose end may release the client.
     const std::shared_ptr<Traffic> traffic = m_traffic;
     http::request_serializer<RequestBody> serializer(*request);
@@ -179,7 +179,7 @@
             traffic->sent += written;
         }
     }
-    connection->writing = false;
+    connection->request = error ? SendState::Failed : SendState::Sent;
     if (error) {
         co_return connectionFailure(error, Executed::Unknown);
     }
@@ -190,7 +190,7 @@
 HttpClient::receiveHead(Connection &connection, std::optional<AnswerParser> &parser, std::optional<AnswerReader> &reader, Instant by)
 {
     for (int skipped = 0; skipped <= s_maxSkippedReplies; ++skipped) {
-        parser.emplace(AnswerParser::Options{.maxPartBytes = s_maxReplyBytes});
+        parser.emplace(connection.request, AnswerParser::Options{.maxPartBytes = s_maxReplyBytes});
         parser->body_limit(s_maxReplyBytes);
         connection.stream.expires_after(timeUntil(by));
         reader.emplace(connection.stream, connection.buffer, *parser);
@@ -241,7 +241,7 @@
 
 void HttpClient::keepForReuse(ConnectionPtr connection, const http::fields &answer)
 {
-    const bool clean = !connection->writing && connection->buffer.size() == 0;
+    const bool clean = connection->request == SendState::Sent && connection->buffer.size() == 0;
     if (!clean || m_idle.size() >= s_maxIdle) {
         return;
     }
@@ -314,7 +314,8 @@
     }
     m_connection->stream.expires_after(m_options.timeout);
     if ((*request)->body().size() > s_concurrentWriteBytes) {
-        // The wait for the answer reports a failure: it uses the same connection.
+        // The wait for the answer reports a failure: its parser knows how far the request has been sent.
+        m_connection->request = SendState::Sending;
         asio::co_spawn(m_client.m_executor, m_client.send(m_connection, *request), asio::detached);
     } else {
         const absl::Status sent = co_await m_client.send(m_connection, *request);
@@ -367,7 +368,7 @@
     if (!m_connection) {
         co_return failed(FailureKind::TargetLost, "the connection ended after an answer to another request", Executed::Unknown);
     }
-    m_parser.emplace(AnswerParser::Options{.withoutBody = m_options.method == "HEAD"});
+    m_parser.emplace(m_connection->request, AnswerParser::Options{.withoutBody = m_options.method == "HEAD"});
     const std::shared_ptr<Wait> wait = beginWait(by);
     m_reader.emplace(m_connection->stream, m_connection->buffer, *m_parser);
     const auto [error, size] = co_await m_reader->readHead();
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -4,6 +4,7 @@
 #include "net/answerparser.h"
 #include "net/answerreader.h"
 #include "net/httpserver.h"
+#include "net/sendstate.h"
 #include "net/traffic.h"
 
 #include <absl/status/statusor.h>
@@ -127,8 +128,8 @@
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
         std::shared_ptr<Traffic> traffic;
-        /// True while a request is being written.
-        bool writing = false;
+        /// How far the last request has been sent.
+        SendState request = SendState::Sent;
         /// The time at which the peer will close the idle connection according to its Keep-Alive header, less a safety margin.
         std::optional<Instant> idleUntil;
     };
--- a/src/net/tcprelay.cpp
+++ b/src/net/tcprelay.cpp
@@ -3,6 +3,7 @@
 #include "clock/steadytime.h"
 #include "failure/failure.h"
 #include "net/pause.h"
+#include "net/sendstate.h"
 #include "operations/log.h"
 
 #include <absl/strings/str_cat.h>
@@ -74,6 +75,7 @@
     bool hasCarried = false;
     /// When it carried something last, or was accepted.
     Instant carriedAt = steadyNow();
+    SendState toUpstream = SendState::Sent;
     bool upstreamClosedInOrder = false;
 };
 
@@ -198,19 +200,23 @@
 {
     tcp::socket &from = fromCaller ? session->caller : session->upstream;
     tcp::socket &to = fromCaller ? session->upstream : session->caller;
+    SendState toCaller = SendState::Sent;
+    SendState &sent = fromCaller ? session->toUpstream : toCaller;
     std::array<char, s_chunkBytes> chunk{};
     bool open = true;
     while (open) {
         session->deadline = steadyNow() + m_options.idleTimeout;
         auto [readError, size] = co_await from.async_read_some(asio::buffer(chunk), s_tuple);
         if (readError) {
-            session->upstreamClosedInOrder = !fromCaller && readError == asio::error::eof;
+            session->upstreamClosedInOrder = !fromCaller && readError == asio::error::eof && isOrderlyClose(session->toUpstream);
             break;
         }
         session->hasCarried = true;
         session->carriedAt = steadyNow();
+        sent = SendState::Sending;
         auto [writeError, written] = co_await asio::async_write(to, asio::buffer(chunk.data(), size), s_tuple);
         open = !writeError;
+        sent = open ? SendState::Sent : SendState::Failed;
     }
     // When one end has closed, the connection to the other end is of no use, and a call that can no longer be answered must not appear to
     // be pending.
--- a/src/tests/answerparsertest.cpp
+++ b/src/tests/answerparsertest.cpp
@@ -17,6 +17,12 @@
 
 namespace {
 
+/// How the connection stands when its end is reached.
+struct End {
+    bool closes = true;
+    SendState request = SendState::Sent;
+};
+
 /// What was read of an answer.
 struct Reading {
     bool complete = false;
@@ -43,10 +49,11 @@
 }
 
 /// Reads one answer from bytes that arrive in parts of these sizes, over and over, and then the end.
-Reading read(const std::string &bytes, bool closes = true, const std::vector<int> &parts = {1 << 20}, AnswerParser::Options options = {})
+Reading read(const std::string &bytes, End end = {}, const std::vector<int> &parts = {1 << 20}, AnswerParser::Options options = {})
 {
     Reading reading;
-    AnswerParser parser(options);
+    SendState request = SendState::Sending;
+    AnswerParser parser(request, options);
     ParserFeed feed;
     boost::beast::flat_buffer arrived;
     std::size_t at = 0;
@@ -59,7 +66,8 @@
             reading.error = {};
         }
     }
-    if (closes && !reading.error && !parser.is_done() && parser.got_some()) {
+    request = end.request;
+    if (end.closes && !reading.error && !parser.is_done() && parser.got_some()) {
         parser.put_eof(reading.error);
     }
     reading.complete = parser.is_done() && !reading.error;
@@ -161,22 +169,27 @@
     return *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 40)));
 }
 
+SendState drawSendState()
+{
+    return *rc::gen::element(SendState::Sending, SendState::Sent, SendState::Failed);
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(AnswerParserTest)
 
-// Guards against an answer that is taken for complete before its end, and against a complete one that is given up.
+// Guards against an answer that is taken for complete before its end, or after a reset, and against a complete one that is given up.
 BOOST_AUTO_TEST_CASE(drawnAnswersAreCompleteAtTheirEndOnly)
 {
     const bool passed = rc::check("complete at its end, with its body", [] {
         const Drawn drawn = drawAnswer();
         const std::size_t cut =
             *rc::gen::oneOf(rc::gen::just(drawn.bytes.size()), rc::gen::inRange<std::size_t>(0, drawn.bytes.size() + 1));
-        const bool closes = *rc::gen::arbitrary<bool>();
+        const End end{.closes = *rc::gen::arbitrary<bool>(), .request = drawSendState()};
         const AnswerParser::Options options{.maxPartBytes = *rc::gen::element<std::size_t>(1, 7, 16 * 1024)};
-        const Reading reading = read(drawn.bytes.substr(0, cut), closes, drawParts(), options);
+        const Reading reading = read(drawn.bytes.substr(0, cut), end, drawParts(), options);
         const bool byConnection = drawn.framing == AnswerFraming::Connection;
-        const bool whole = byConnection ? cut >= drawn.headSize && closes : cut == drawn.bytes.size();
+        const bool whole = byConnection ? cut >= drawn.headSize && end.closes && end.request == SendState::Sent : cut == drawn.bytes.size();
         RC_ASSERT(reading.complete == whole);
         if (whole) {
             RC_ASSERT(reading.body == drawn.body.substr(0, byConnection ? cut - drawn.headSize : std::string::npos));
@@ -224,11 +237,26 @@
     BOOST_TEST(read(answer(s_ok, "Transfer-Encoding: chunked\r\n", "4;a=b;c=\"d\"\r\nbody\r\n000\r\n\r\n")).body == "body");
 }
 
+// Guards against a reset during the request that the write has seen, so that the read takes it for the end of the answer; and against an
+// answer with an end of its own that is given up because of it.
+BOOST_AUTO_TEST_CASE(onlyAnAnswerThatEndsWithItsConnectionDependsOnTheRequest)
+{
+    for (const SendState request : {SendState::Sending, SendState::Sent, SendState::Failed}) {
+        const bool sent = request == SendState::Sent;
+        BOOST_TEST(read(answer(s_ok, "", "body"), {.request = request}).complete == sent);
+        BOOST_TEST(read(answer("HTTP/1.0 500 Oh", "", ""), {.request = request}).complete == sent);
+        BOOST_TEST(read(answer(s_ok, "Content-Length: 4\r\n", "body"), {.request = request}).complete);
+        BOOST_TEST(read(answer(s_ok, "Transfer-Encoding: chunked\r\n", chunked("body")), {.request = request}).complete);
+        BOOST_TEST(!read(answer(s_ok, "Content-Length: 5\r\n", "body"), {.request = request}).complete);
+        BOOST_TEST(!read(answer(s_ok, "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n"), {.request = request}).complete);
+    }
+}
+
 // Guards against bytes that end the process, however they arrive: an empty body in chunks that comes byte by byte did.
 BOOST_AUTO_TEST_CASE(noBytesEndTheProcess)
 {
     const std::string head = answer(s_ok, "Transfer-Encoding: chunked\r\n", "");
-    BOOST_TEST(read(head + "0\r\n\r\n", true, {1}).complete);
+    BOOST_TEST(read(head + "0\r\n\r\n", {}, {1}).complete);
     const bool passed = rc::check("bytes are an answer, or none", [&head] {
         const auto piece = rc::gen::element<std::string>(
             "0", "1", "3", "a", "\r\n", "\r", "\n", ";", "x", "=", "\"", ": ", " ", "X: y\r\n", "0\r\n", "\r\n\r\n");
@@ -238,7 +266,7 @@
         }
         const std::vector<int> parts = *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 4)));
         const std::string first = *rc::gen::element<std::string>("", head, head + "3\r\nabc\r\n");
-        read(first + rest, true, parts);
+        read(first + rest, {}, parts);
     });
     BOOST_TEST(passed);
 }
--- a/src/tests/tcprelaytest.cpp
+++ b/src/tests/tcprelaytest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -84,6 +85,46 @@
     end = error;
 }
 
+/// The bytes that a connection takes whose other end reads nothing.
+std::size_t heldByTheKernel(tcp::acceptor &acceptor)
+{
+    tcp::socket socket(acceptor.get_executor());
+    socket.connect(acceptor.local_endpoint());
+    const tcp::socket accepted = acceptor.accept();
+    socket.non_blocking(true);
+    const std::string chunk(8192, 'u');
+    std::size_t held = 0;
+    boost::system::error_code error;
+    while (!error) {
+        held += socket.write_some(asio::buffer(chunk), error);
+    }
+    return held;
+}
+
+/// Accepts one connection, sends a part of an answer while a long request is being written, of which it reads nothing, and resets it.
+asio::awaitable<void> replyBeforeTheRequest(tcp::acceptor &acceptor)
+{
+    auto [error, socket] = co_await acceptor.async_accept(s_tuple);
+    BOOST_REQUIRE(!error);
+    asio::steady_timer timer(acceptor.get_executor(), std::chrono::milliseconds(20));
+    co_await timer.async_wait(s_tuple);
+    co_await asio::async_write(socket, asio::buffer(std::string("po")), s_tuple);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+}
+
+/// Sends a request of this length, and reads to the end of the connection.
+asio::awaitable<void> sendLongRequest(std::uint16_t port, std::size_t bytes, std::optional<boost::system::error_code> &end)
+{
+    tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect(loopback(port), s_tuple);
+    const std::string request(bytes, 'u');
+    const auto [writeError, written] = co_await asio::async_write(socket, asio::buffer(request), s_tuple);
+    std::string answer;
+    const auto [readError, size] = co_await asio::async_read(socket, asio::dynamic_buffer(answer), s_tuple);
+    end = writeError ? writeError : readError;
+}
+
 /// Sends four bytes through the relay and reads everything that comes back until the connection ends.
 asio::awaitable<void> sendPing(std::uint16_t port, std::string &answer, bool &closed)
 {
@@ -137,6 +178,28 @@
     }
 }
 
+// Guards against the reset of an answer without a length that only the forwarding of its request has seen, so that the relay closes the
+// answer in order. It resets by itself where it has not read the whole request, so the requests here end where the kernel takes no more.
+BOOST_AUTO_TEST_CASE(resetDuringTheRequestIsNotClosedInOrder)
+{
+    asio::io_context measuring;
+    tcp::acceptor unread(measuring, loopback(0));
+    const std::size_t held = heldByTheKernel(unread);
+    for (std::size_t more = 0; more < 40; ++more) {
+        asio::io_context loop;
+        tcp::acceptor store(loop, loopback(0));
+        TcpRelay relay(loop.get_executor(), {.listen = loopback(0), .upstream = store.local_endpoint()});
+        BOOST_REQUIRE(relay.open().ok());
+        std::optional<boost::system::error_code> end;
+        asio::co_spawn(loop, replyBeforeTheRequest(store), asio::detached);
+        asio::co_spawn(loop, sendLongRequest(relay.port(), held - 80'000 + 4096 * more, end), asio::detached);
+        while (!end) {
+            loop.run_one();
+        }
+        BOOST_TEST((*end != asio::error::eof), more);
+    }
+}
+
 // Guards against an answer without a length that looks complete because the relay stops in the middle of it.
 BOOST_AUTO_TEST_CASE(stoppingRelayDoesNotCloseAnswersInOrder)
 {
