Give up answers whose status HTTP does not have

What callers saw (MIXED): a target in trouble sent an answer with the status 000 and the caller got the sound answer that came behind it; a status of 600 or 999 was passed on, with the target's seal. Cause: nothing said which statuses are valid. Beast's parser takes any three digits, and everything under 200 counted as an interim answer. Change: AnswerParser fails for a status outside 100 to 599 (RFC 9110, 15), and for 101, which answers an upgrade that nobody asked for (7.8). All readers of answers use it: routes of each kind, whole answers of the store and relays, the sidecar. Field names and values that HTTP forbids were given up before, and are now tested.

--- a/src/net/answerparser.cpp
+++ b/src/net/answerparser.cpp
@@ -11,7 +11,10 @@
 
 namespace {
 
+constexpr unsigned s_firstStatus = 100;
+constexpr unsigned s_switchingProtocols = 101;
 constexpr unsigned s_firstFinalStatus = 200;
+constexpr unsigned s_lastStatus = 599;
 /// The most bytes that the extensions of all chunks may take.
 constexpr std::size_t s_maxExtensionBytes = 64 * 1024;
 
@@ -56,6 +59,14 @@
     return std::exchange(m_body, {});
 }
 
+AnswerParser::ErrorCode AnswerParser::headProblem() const
+{
+    if (m_status < s_firstStatus || m_status > s_lastStatus || m_status == s_switchingProtocols) {
+        return http::error::bad_status;
+    }
+    return {};
+}
+
 std::size_t AnswerParser::append(StringView part, ErrorCode &error)
 {
     const std::size_t taken = std::min(part.size(), m_options.maxPartBytes - m_body.size());
@@ -79,9 +90,10 @@
     }
 }
 
-void AnswerParser::on_header_impl(ErrorCode &)
+void AnswerParser::on_header_impl(ErrorCode &error)
 {
     m_headComplete = true;
+    error = headProblem();
 }
 
 std::size_t AnswerParser::on_body_impl(StringView body, ErrorCode &error)
--- a/src/net/answerparser.h
+++ b/src/net/answerparser.h
@@ -25,11 +25,12 @@
 /// Returns the name of the framing as it appears in logs.
 std::string_view framingName(AnswerFraming framing);
 
-/// Parses one answer, and decides for everything that reads answers when it is complete. Pure: bytes, or the end of the connection, in; the
-/// answer out. Never throws because of what it parses.
+/// Parses one answer. Decides for everything that reads answers whether the bytes of a connection are a valid answer, and when it is
+/// complete. Pure: bytes, or the end of the connection, in; the answer out. Never throws because of what it parses.
 ///
-/// Besides the errors of its base it fails with `bad_chunk_extension` for extensions without end, and with `partial_message` for a
-/// connection that did not close in order.
+/// Besides the errors of its base it fails with `bad_status` for a status outside 100 to 599 and for 101, which answers an upgrade that was
+/// not asked for; with `bad_chunk_extension` for extensions without end; and with `partial_message` for a connection that did not close in
+/// order.
 class AnswerParser : public boost::beast::http::basic_parser<false>
 {
 public:
@@ -75,6 +76,8 @@
     using ErrorCode = boost::system::error_code;
     using StringView = boost::beast::string_view;
 
+    /// Returns what is wrong with the head as a whole; no error if it is valid.
+    ErrorCode headProblem() const;
     /// Takes what fits of a part of the body. Returns its size.
     std::size_t append(StringView part, ErrorCode &error);
 
--- a/src/tests/answerparsertest.cpp
+++ b/src/tests/answerparsertest.cpp
@@ -103,23 +103,12 @@
 
 std::vector<std::string> invalidStatusLines()
 {
-    return {"HTTP/1.1 20 OK",
-            "HTTP/1.1 2000 OK",
-            "HTTP/1.1 -20 OK",
-            "HTTP/1.1 2x0 OK",
-            "HTTP/1.1 OK",
-            "HTTP/1.1  200 OK",
-            "HTTP/1.2 200 OK",
-            "HTTP/2.0 200 OK",
-            "HTTP/0.9 200 OK",
-            "HTTP/11 200 OK",
-            "http/1.1 200 OK",
-            "HTTPS/1.1 200 OK",
-            "ICY 200 OK",
-            " HTTP/1.1 200 OK",
-            "200 OK",
-            "HTTP/1.1 200 O\x01K",
-            "HTTP/1.1 200 O\x7fK"};
+    return {"HTTP/1.1 000 OK", "HTTP/1.1 001 OK",     "HTTP/1.1 099 OK",    "HTTP/1.1 101 Switching Protocols",
+            "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",     "HTTP/1.1 20 OK",     "HTTP/1.1 2000 OK",
+            "HTTP/1.1 -20 OK", "HTTP/1.1 2x0 OK",     "HTTP/1.1 OK",        "HTTP/1.1  200 OK",
+            "HTTP/1.2 200 OK", "HTTP/2.0 200 OK",     "HTTP/0.9 200 OK",    "HTTP/11 200 OK",
+            "http/1.1 200 OK", "HTTPS/1.1 200 OK",    "ICY 200 OK",         " HTTP/1.1 200 OK",
+            "200 OK",          "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK"};
 }
 
 /// An answer as it was meant, drawn.
@@ -200,6 +189,44 @@
     BOOST_TEST(passed);
 }
 
+// Guards against bytes that are no HTTP answer and that a caller gets as one.
+BOOST_AUTO_TEST_CASE(drawnHeadsWithOneFaultAreNoAnswers)
+{
+    const bool passed = rc::check("a head with a fault", [] {
+        const std::string statusLine = *rc::gen::element<std::string>("HTTP/1.1 200 OK", "HTTP/1.1 404 Not Found", "HTTP/1.0 500 Oh");
+        std::vector<std::string> fields = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::element<std::string>("X-A: b\r\n", "Response: \x80\xff\r\n", "Keep-Alive: timeout=4\r\n"));
+        std::string line = statusLine;
+        const int kind = *rc::gen::inRange(0, 2);
+        if (kind == 0) {
+            line = *rc::gen::elementOf(invalidStatusLines());
+        } else {
+            fields.push_back(*rc::gen::elementOf(invalidFields()));
+            std::rotate(fields.begin(), fields.begin() + *rc::gen::inRange<int>(0, static_cast<int>(fields.size())), fields.end());
+        }
+        std::string head;
+        for (const std::string &field : fields) {
+            head += field;
+        }
+        const std::string rest = *rc::gen::element<std::string>("", "body", chunked("body"));
+        const Reading reading = read(answer(line, head, rest), {}, drawParts());
+        RC_ASSERT(!reading.complete);
+    });
+    BOOST_TEST(passed);
+}
+
+// Guards against a status outside 100 to 599 that a caller gets, and against one that is taken for an interim answer.
+BOOST_AUTO_TEST_CASE(statusesOutsideTheRangeAreNoAnswers)
+{
+    for (int status = 0; status < 1000; ++status) {
+        const std::string digits = absl::StrCat(status < 100 ? "0" : "", status < 10 ? "0" : "", status);
+        const Reading reading = read(answer("HTTP/1.1 " + digits + " X", "Content-Length: 0\r\n", ""));
+        const bool valid = status >= 100 && status <= 599 && status != 101;
+        BOOST_TEST(reading.complete == valid, digits);
+        BOOST_TEST((valid || reading.error == http::error::bad_status), digits);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(invalidHeadsAreNoAnswers)
 {
     for (const std::string &line : invalidStatusLines()) {
