Give up answers whose framing HTTP forbids or nobody here undoes

What callers saw: answers with a transfer coding other than chunked reached them as complete, with a body that was not the target's: still coded, or with the sizes of its chunks in it. Cause: Beast's parser looks for chunked as the last coding and ignores the others, takes any other coding for a body that ends with the connection, takes codings in HTTP/1.0, and ignores lengths and codings of answers that have no body, whose bytes then count as the next answer. Change: AnswerParser accepts chunked alone, in an answer of HTTP/1.1 that may have a body, and a length over 0 only where there may be a body (RFC 9112, 6.1 to 6.3; RFC 9110, 8.6). Other answers are given up, as differing or invalid lengths were before. AnswerParserTest draws heads with one fault in the status line, the fields or the framing; none is an answer. Valid framings are passed on.

--- a/src/net/answerparser.cpp
+++ b/src/net/answerparser.cpp
@@ -1,5 +1,6 @@
 #include "net/answerparser.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
@@ -14,7 +15,10 @@
 constexpr unsigned s_firstStatus = 100;
 constexpr unsigned s_switchingProtocols = 101;
 constexpr unsigned s_firstFinalStatus = 200;
+constexpr unsigned s_noContent = 204;
 constexpr unsigned s_lastStatus = 599;
+/// Transfer codings exist from this version on, as Beast numbers versions.
+constexpr int s_http11 = 11;
 /// The most bytes that the extensions of all chunks may take.
 constexpr std::size_t s_maxExtensionBytes = 64 * 1024;
 
@@ -59,12 +63,29 @@
     return std::exchange(m_body, {});
 }
 
+AnswerParser::ErrorCode AnswerParser::transferCodingProblem() const
+{
+    const auto [first, end] = m_fields.equal_range(http::field::transfer_encoding);
+    if (first == end) {
+        return {};
+    }
+    // A coding that is not undone here would reach the caller as the body. Without `chunked` as the last one the body has no end of its
+    // own, and before HTTP/1.1, or where an answer has no body, a coding means that the sender is mistaken about the framing.
+    const bool chunkedAlone = std::next(first) == end && boost::beast::iequals(first->value(), "chunked");
+    const bool allowed = m_version >= s_http11 && !isInterim() && m_status != s_noContent;
+    return chunkedAlone && allowed ? ErrorCode() : ErrorCode(http::error::bad_transfer_encoding);
+}
+
 AnswerParser::ErrorCode AnswerParser::headProblem() const
 {
     if (m_status < s_firstStatus || m_status > s_lastStatus || m_status == s_switchingProtocols) {
         return http::error::bad_status;
     }
-    return {};
+    const bool neverHasBody = isInterim() || m_status == s_noContent;
+    if (neverHasBody && content_length().value_or(0) > 0) {
+        return http::error::bad_content_length;
+    }
+    return transferCodingProblem();
 }
 
 std::size_t AnswerParser::append(StringView part, ErrorCode &error)
@@ -77,9 +98,10 @@
     return taken;
 }
 
-void AnswerParser::on_response_impl(int code, StringView, int, ErrorCode &)
+void AnswerParser::on_response_impl(int code, StringView, int version, ErrorCode &)
 {
     m_status = static_cast<unsigned>(code);
+    m_version = version;
 }
 
 void AnswerParser::on_field_impl(http::field name, StringView nameText, StringView value, ErrorCode &)
--- a/src/net/answerparser.h
+++ b/src/net/answerparser.h
@@ -26,11 +26,13 @@
 std::string_view framingName(AnswerFraming framing);
 
 /// Parses one answer. Decides for everything that reads answers whether the bytes of a connection are a valid answer, and when it is
-/// complete. Pure: bytes, or the end of the connection, in; the answer out. Never throws because of what it parses.
+/// complete, by RFC 9110 and RFC 9112. Pure: bytes, or the end of the connection, in; the answer out. Never throws because of what it
+/// parses.
 ///
-/// Besides the errors of its base it fails with `bad_status` for a status outside 100 to 599 and for 101, which answers an upgrade that was
-/// not asked for; with `bad_chunk_extension` for extensions without end; and with `partial_message` for a connection that did not close in
-/// order.
+/// Besides the errors of its base it fails with `bad_status` for a status outside 100 to 599 and for 101, which is an answer to an upgrade
+/// that was not asked for; with `bad_transfer_encoding` for any coding but `chunked` alone, and where none is allowed; with
+/// `bad_content_length` for a length where none is allowed; with `bad_chunk_extension` for extensions without end; and with
+/// `partial_message` for a connection that did not close in order.
 class AnswerParser : public boost::beast::http::basic_parser<false>
 {
 public:
@@ -78,6 +80,7 @@
 
     /// Returns what is wrong with the head as a whole; no error if it is valid.
     ErrorCode headProblem() const;
+    ErrorCode transferCodingProblem() const;
     /// Takes what fits of a part of the body. Returns its size.
     std::size_t append(StringView part, ErrorCode &error);
 
@@ -101,6 +104,7 @@
     const SendState &m_request;
     Options m_options;
     unsigned m_status = 0;
+    int m_version = 0;
     boost::beast::http::fields m_fields;
     bool m_headComplete = false;
     std::size_t m_extensionBytes = 0;
--- a/src/tests/answerparsertest.cpp
+++ b/src/tests/answerparsertest.cpp
@@ -92,6 +92,39 @@
 
 const std::string s_ok = "HTTP/1.1 200 OK";
 
+/// Fields about the framing that are no valid framing of an answer, or one that cannot be undone here.
+std::vector<std::string> invalidFramings()
+{
+    return {"Transfer-Encoding: gzip\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n",
+            "Transfer-Encoding: chunked, gzip\r\n",
+            "Transfer-Encoding: chunked, chunked\r\n",
+            "Transfer-Encoding: identity\r\n",
+            "Transfer-Encoding: identity, chunked\r\n",
+            "Transfer-Encoding: xchunked\r\n",
+            "Transfer-Encoding: chunked;q=1\r\n",
+            "Transfer-Encoding: \"chunked\"\r\n",
+            "Transfer-Encoding:\r\n",
+            "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n",
+            "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+            "Content-Length: 4\r\nContent-Length: 5\r\n",
+            "Content-Length: 4, 5\r\n",
+            "Content-Length: -4\r\n",
+            "Content-Length: +4\r\n",
+            "Content-Length: 0x4\r\n",
+            "Content-Length: 4 4\r\n",
+            "Content-Length: 4;\r\n",
+            "Content-Length: four\r\n",
+            "Content-Length:\r\n",
+            "Content-Length: 18446744073709551616\r\n",
+            "Content-Length: 99999999999999999999999\r\n"};
+}
+
 /// Lines that are no field.
 std::vector<std::string> invalidFields()
 {
@@ -197,11 +230,11 @@
         std::vector<std::string> fields = *rc::gen::container<std::vector<std::string>>(
             rc::gen::element<std::string>("X-A: b\r\n", "Response: \x80\xff\r\n", "Keep-Alive: timeout=4\r\n"));
         std::string line = statusLine;
-        const int kind = *rc::gen::inRange(0, 2);
+        const int kind = *rc::gen::inRange(0, 3);
         if (kind == 0) {
             line = *rc::gen::elementOf(invalidStatusLines());
         } else {
-            fields.push_back(*rc::gen::elementOf(invalidFields()));
+            fields.push_back(*rc::gen::elementOf(kind == 1 ? invalidFields() : invalidFramings()));
             std::rotate(fields.begin(), fields.begin() + *rc::gen::inRange<int>(0, static_cast<int>(fields.size())), fields.end());
         }
         std::string head;
@@ -227,6 +260,27 @@
     }
 }
 
+// Guards against a body that is not the sender's, because it was framed or coded in a way that is not undone here.
+BOOST_AUTO_TEST_CASE(invalidFramingsAreNoAnswers)
+{
+    for (const std::string &framing : invalidFramings()) {
+        for (const std::string &rest : {std::string(), std::string("body"), chunked("body")}) {
+            BOOST_TEST(!read(answer(s_ok, framing, rest)).complete, framing << rest);
+        }
+    }
+    // Before HTTP/1.1 there were no transfer codings.
+    BOOST_TEST(!read(answer("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", chunked("body"))).complete);
+    for (const char *status : {"HTTP/1.1 100 Continue", "HTTP/1.1 103 Early Hints", "HTTP/1.1 204 No Content"}) {
+        BOOST_TEST(read(answer(status, "", "")).complete, status);
+        BOOST_TEST(read(answer(status, "Content-Length: 0\r\n", "")).complete, status);
+        BOOST_TEST(!read(answer(status, "Content-Length: 4\r\n", "body")).complete, status);
+        BOOST_TEST(!read(answer(status, "Transfer-Encoding: chunked\r\n", chunked("body"))).complete, status);
+    }
+    // The length of the body that a GET request would have got.
+    BOOST_TEST(read(answer("HTTP/1.1 304 Not Modified", "Content-Length: 4\r\n", "")).complete);
+    BOOST_TEST(read(answer(s_ok, "Content-Length: 4\r\n", ""), {}, {9}, {.withoutBody = true}).complete);
+}
+
 BOOST_AUTO_TEST_CASE(invalidHeadsAreNoAnswers)
 {
     for (const std::string &line : invalidStatusLines()) {
--- a/src/tests/invalidanswertest.cpp
+++ b/src/tests/invalidanswertest.cpp
@@ -82,4 +82,51 @@
     }
 }
 
+// Guards against a body that is not the target's, because its framing is one that HTTP forbids, or a coding that nobody here undoes.
+BOOST_AUTO_TEST_CASE(invalidFramingsAreNotPassedOn)
+{
+    const std::string ok = "HTTP/1.1 200 OK";
+    const std::string chunks = chunk("id: 1\ndata: x\n\n") + chunk("");
+    for (const char *framing : {"Transfer-Encoding: gzip",
+                                "Transfer-Encoding: gzip, chunked",
+                                "Transfer-Encoding: chunked, gzip",
+                                "Transfer-Encoding: chunked, chunked",
+                                "Transfer-Encoding: identity",
+                                "Transfer-Encoding: xchunked",
+                                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                                "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+                                "Transfer-Encoding: chunked\r\nContent-Length: 6",
+                                "Content-Length: 6\r\nTransfer-Encoding: gzip",
+                                "Transfer-Encoding: gzip\r\nContent-Length: 6",
+                                "Content-Length: 6\r\nContent-Length: 7",
+                                "Content-Length: 6, 7",
+                                "Content-Length: -6",
+                                "Content-Length: 6x",
+                                "Content-Length: ",
+                                "Content-Length: 18446744073709551622"}) {
+        checkIsNotPassedOn(answerWith(ok, absl::StrCat(framing, "\r\n")));
+        checkIsNotPassedOn(answerWith(ok, absl::StrCat(framing, "\r\n"), chunks));
+    }
+    checkIsNotPassedOn(answerWith("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", chunks));
+    checkIsNotPassedOn(answerWith("HTTP/1.1 204 No Content", "Transfer-Encoding: chunked\r\n", chunks));
+    checkIsNotPassedOn(answerWith("HTTP/1.1 204 No Content", s_length));
+    checkIsNotPassedOn(answerWith("HTTP/1.1 103 Early Hints", s_length, sealedResponse().bytes));
+    checkIsNotPassedOn(answerWith("HTTP/1.1 103 Early Hints", "Transfer-Encoding: chunked\r\n", sealedResponse().bytes));
+}
+
+// Guards against a valid framing that is taken for an invalid one.
+BOOST_AUTO_TEST_CASE(validFramingsArePassedOn)
+{
+    for (const char *framing : {"Content-Length: 6", "Content-Length: 6, 6", "content-length:6 ", ""}) {
+        const std::string fields = *framing == '\0' ? std::string() : absl::StrCat(framing, "\r\n");
+        BOOST_TEST(toldAfter(answerWith("HTTP/1.1 200 OK", fields), "/once/").ends_with("answer"), framing);
+        BOOST_TEST(toldAfter(answerWith("HTTP/1.0 200 OK", fields), "/once/").ends_with("answer"), framing);
+    }
+    for (const char *coding : {"chunked", "Chunked", " CHUNKED "}) {
+        const std::string bytes =
+            answerWith("HTTP/1.1 200 OK", absl::StrCat("Transfer-Encoding:", coding, "\r\n"), chunk("answer") + chunk(""));
+        BOOST_TEST(toldAfter(bytes, "/once/").ends_with("answer"), coding);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
