--- a/src/tests/drainrechecktest.cpp
+++ b/src/tests/drainrechecktest.cpp
@@ -1,3 +1,4 @@
+#include "clock/steadytime.h"
 #include "tests/gatewayfixture.h"
 
 #include <boost/asio/post.hpp>
@@ -87,4 +88,47 @@
     BOOST_TEST((contains(answer, "id: 4") || resumed.target(0).requests().empty()), answer);
 }
 
+// Guards against a request that is passed on late in a planned stop and cut at its end: one that arrives late, on a new or a kept
+// connection, and one whose body arrives late.
+BOOST_AUTO_TEST_CASE(lateRequestsAreRefused)
+{
+    for (const std::string path : {"/once/", "/again/", "/stream/", "/resume/"}) {
+        const std::string whole = request(path);
+        std::string kept = whole;
+        kept.replace(kept.find("Connection: close\r\n"), std::string("Connection: close\r\n").size(), "");
+        const std::size_t bodyAt = whole.size() - 4;
+        GatewayFixture fixture({{events(1, 2)}});
+        fixture.schedule(20 * s_ms, [&fixture] {
+            fixture.beginDrain(s_tooShort);
+        });
+        const std::vector<std::string> answers =
+            fixture.exchangeAll({{.request = whole, .at = 40 * s_ms},
+                                 {.request = whole, .at = 500 * s_ms},
+                                 {.request = kept + whole, .at = 60 * s_ms},
+                                 {.request = whole.substr(0, bodyAt), .rest = whole.substr(bodyAt), .restAfter = 100 * s_ms},
+                                 {.request = whole.substr(0, 20), .rest = whole.substr(20), .restAfter = 200 * s_ms}});
+        for (const std::string &answer : answers) {
+            BOOST_TEST(answer.starts_with("HTTP/1.1 503 "), path << answer);
+            BOOST_TEST(contains(answer, "X-Retry-Ms: "), answer);
+        }
+        BOOST_TEST(fixture.receivedRequests() == 0U);
+    }
+}
+
+// Guards against a request that is admitted in a planned stop, whose target is silent, and that gets no answer before the stop.
+BOOST_AUTO_TEST_CASE(admittedRequestsAreAnsweredBeforeTheStop)
+{
+    for (const std::string path : {"/once/", "/again/"}) {
+        for (const PeerAction &action : {PeerAction{.ending = PeerEnding::Silent},
+                                         PeerAction{.bytes = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n", .ending = PeerEnding::Silent}}) {
+            GatewayFixture fixture({{action}});
+            fixture.beginDrain(s_enough);
+            const Instant begun = steadyNow();
+            const std::string answer = fixture.exchange(request(path));
+            BOOST_TEST((answer.starts_with("HTTP/1.1 504 ") || answer.starts_with("HTTP/1.1 502 ")), answer);
+            BOOST_TEST((steadyNow() - begun < s_enough));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/tests/gatewayfixture.cpp
+++ b/src/tests/gatewayfixture.cpp
@@ -122,9 +122,10 @@
 std::string GatewayFixture::exchange(std::string request, std::optional<Duration> leaveAfter)
 {
     std::string answer;
-    asio::co_spawn(m_pool.mainLoop(), call(std::move(request), answer, leaveAfter), [this](const std::exception_ptr &) {
-        m_pool.stop();
-    });
+    asio::co_spawn(
+        m_pool.mainLoop(), call({.request = std::move(request), .leaveAfter = leaveAfter}, answer), [this](const std::exception_ptr &) {
+            m_pool.stop();
+        });
     m_pool.run();
     m_pool.mainLoop().restart();
     return answer;
@@ -136,12 +137,11 @@
     std::size_t left = calls.size();
     for (std::size_t index = 0; index < calls.size(); ++index) {
         schedule(calls[index].at, [&, index] {
-            asio::co_spawn(
-                m_pool.mainLoop(), call(calls[index].request, answers[index], calls[index].leaveAfter), [&](const std::exception_ptr &) {
-                    if (--left == 0) {
-                        m_pool.stop();
-                    }
-                });
+            asio::co_spawn(m_pool.mainLoop(), call(calls[index], answers[index]), [&](const std::exception_ptr &) {
+                if (--left == 0) {
+                    m_pool.stop();
+                }
+            });
         });
     }
     m_pool.run();
@@ -314,15 +314,19 @@
     return options;
 }
 
-asio::awaitable<void> GatewayFixture::call(std::string request, std::string &answer, std::optional<Duration> leaveAfter)
+asio::awaitable<void> GatewayFixture::call(Call sent, std::string &answer)
 {
     asio::ip::tcp::socket socket(m_pool.mainLoop());
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(ownAddress()), s_port);
     co_await socket.async_connect(endpoint, s_tuple);
-    co_await asio::async_write(socket, asio::buffer(request), s_tuple);
-    if (leaveAfter) {
-        asio::steady_timer timer(m_pool.mainLoop(), *leaveAfter);
-        if (*leaveAfter > Duration::zero()) {
+    co_await asio::async_write(socket, asio::buffer(sent.request), s_tuple);
+    if (!sent.rest.empty()) {
+        co_await pause(sent.restAfter);
+        co_await asio::async_write(socket, asio::buffer(sent.rest), s_tuple);
+    }
+    if (sent.leaveAfter) {
+        asio::steady_timer timer(m_pool.mainLoop(), *sent.leaveAfter);
+        if (*sent.leaveAfter > Duration::zero()) {
             co_await timer.async_wait(s_tuple);
         }
         socket.close();
--- a/src/tests/gatewayfixture.h
+++ b/src/tests/gatewayfixture.h
@@ -34,6 +34,9 @@
         std::string request;
         Duration at{};
         std::optional<Duration> leaveAfter;
+        /// The rest of the request, which is sent after this time.
+        std::string rest;
+        Duration restAfter{};
     };
     /// Sends the requests on connections of their own and returns the responses in the order of the calls.
     std::vector<std::string> exchangeAll(const std::vector<Call> &calls);
@@ -112,7 +115,7 @@
     Gateway::Options options();
     HttpServer::Options serverOptions() const;
 
-    asio::awaitable<void> call(std::string request, std::string &answer, std::optional<Duration> leaveAfter);
+    asio::awaitable<void> call(Call sent, std::string &answer);
 
     Duration m_startupWait;
     bool m_plannedRetries;
--- a/src/tests/streamcontinuationtest.cpp
+++ b/src/tests/streamcontinuationtest.cpp
@@ -87,6 +87,28 @@
     }));
 }
 
+// Guards against streams that go on at another version because all routers have died at once around the end of the version that began them,
+// and nothing but the store and the relays beside the targets that are left knows of it.
+BOOST_AUTO_TEST_CASE(noStreamChangesItsVersionOverADeathOfAllRouters)
+{
+    constexpr int versionsWrittenWithinMs = 2500;
+    std::size_t takenUp = 0;
+    BOOST_TEST(rc::check("streams keep their version when all routers die", [&] {
+        StreamFleet fleet({.routers = *rc::gen::element<std::size_t>(1, 3, 6),
+                           .lossPercent = *rc::gen::element(0, 10, 60, 100),
+                           .seed = *rc::gen::arbitrary<std::uint32_t>(),
+                           .versionsWrittenWithinMs = *rc::gen::element(0, versionsWrittenWithinMs)});
+        const auto steps = *rc::gen::inRange(20, 200);
+        for (int step = 0; step < steps; ++step) {
+            fleet.advance(*rc::gen::element(*rc::gen::inRange(1, 200), *rc::gen::inRange(10, 3000)));
+            fleet.apply(*rc::gen::elementOf(StreamFleet::releaseEvents()));
+            RC_ASSERT(fleet.mixedStreams() == 0U);
+        }
+        takenUp += fleet.takenUp();
+    }));
+    BOOST_TEST(takenUp > 100U);
+}
+
 // Guards against refusing wholesale: at least half of the streams that can go on must.
 BOOST_AUTO_TEST_CASE(mostStreamsGoOnWhileTheirVersionServes)
 {
--- a/src/tests/streamfleet.cpp
+++ b/src/tests/streamfleet.cpp
@@ -47,6 +47,19 @@
             Event::RouterRestarts};
 }
 
+std::vector<StreamFleet::Event> StreamFleet::releaseEvents()
+{
+    std::vector<Event> events = allEvents();
+    events.insert(events.end(),
+                  {Event::AllRoutersAreKilled,
+                   Event::AllRoutersAreKilled,
+                   Event::OldestVersionLeaves,
+                   Event::TargetAppears,
+                   Event::CallerTakesStreamUp,
+                   Event::CallerTakesStreamUp});
+    return events;
+}
+
 StreamFleet::StreamFleet(Options options)
     : m_options(options)
     , m_random(options.seed)
@@ -77,6 +90,7 @@
 void StreamFleet::advance(int milliseconds)
 {
     m_now += std::chrono::milliseconds(milliseconds);
+    synchroniseWhereDue();
     std::erase_if(m_streams, [this](const Stream &stream) {
         return m_now - stream.begunAt > s_callersWait;
     });
@@ -109,11 +123,85 @@
     router.board->addFormerVersions(s_service, former, Instant(std::chrono::milliseconds(m_row->since)));
 }
 
+void StreamFleet::synchroniseWhereDue()
+{
+    for (Router &router : m_routers) {
+        const std::optional<Instant> followedSince = router.board->followedSince();
+        const bool afterGap = router.syncedSince != followedSince;
+        const bool changed = router.synced != router.board->listedVersions();
+        if (!router.followsStore || !followedSince || (!afterGap && !changed)) {
+            continue;
+        }
+        if (!router.writesAt) {
+            const std::size_t latest = static_cast<std::size_t>(m_options.versionsWrittenWithinMs) + 1;
+            router.writesAt = m_now + std::chrono::milliseconds(draw(latest));
+        }
+        if (afterGap || *router.writesAt <= m_now) {
+            synchroniseVersions(router);
+            router.syncedSince = followedSince;
+            router.synced = router.board->listedVersions();
+            router.writesAt.reset();
+        }
+    }
+}
+
 void StreamFleet::start(Router &router)
 {
     router.board = std::make_unique<TargetBalancer>(TargetOptions{});
     router.own = {};
-    readList(router);
+    router.syncedSince.reset();
+    router.synced.clear();
+    router.writesAt.reset();
+    if (router.followsStore) {
+        readList(router);
+    }
+}
+
+void StreamFleet::killAll()
+{
+    for (Router &router : m_routers) {
+        start(router);
+        if (!router.followsStore) {
+            router.board->setStoreReachable(false, m_now);
+        }
+    }
+    for (Stream &stream : m_streams) {
+        stream.router.reset();
+    }
+}
+
+void StreamFleet::leave(const std::string &incarnation)
+{
+    for (Router &router : m_routers) {
+        if (router.followsStore) {
+            router.board->removeListing(incarnation, m_now);
+        }
+    }
+    m_targets.erase(incarnation);
+}
+
+bool StreamFleet::mayLeave(const Target &target) const
+{
+    return m_targets.size() > 1 && m_now - target.appearedAt >= std::chrono::milliseconds(m_options.versionsWrittenWithinMs);
+}
+
+void StreamFleet::endOldestVersion()
+{
+    const auto oldest = std::ranges::min_element(m_targets, {}, [](const auto &entry) {
+        return entry.second.appearedAt;
+    });
+    const std::string version = oldest->second.listing.version;
+    std::vector<std::string> ended;
+    for (const auto &[incarnation, target] : m_targets) {
+        if (target.listing.version == version) {
+            ended.push_back(incarnation);
+        }
+    }
+    for (const std::string &incarnation : ended) {
+        if (mayLeave(m_targets.at(incarnation))) {
+            leave(incarnation);
+        }
+    }
 }
 
 void StreamFleet::restart(Router &router)
@@ -148,6 +236,7 @@
     const std::string version = statesVersion ? absl::StrCat("v", draw(s_versions)) : std::string();
     Target &target = m_targets[name];
     target.listing = {.incarnation = name, .service = s_service, .relay = absl::StrCat("10.0.0.", m_next, ":7000"), .version = version};
+    target.appearedAt = m_now;
     list(target);
 }
 
@@ -273,16 +362,16 @@
         appear();
         break;
     case Event::TargetLeaves:
-        if (m_targets.size() > 1) {
-            const auto target = chosen(m_targets);
-            for (Router &router : m_routers) {
-                if (router.followsStore) {
-                    router.board->removeListing(target->first, m_now);
-                }
-            }
-            m_targets.erase(target);
+        if (const auto target = chosen(m_targets); mayLeave(target->second)) {
+            leave(std::string(target->first));
         }
         break;
+    case Event::OldestVersionLeaves:
+        endOldestVersion();
+        break;
+    case Event::AllRoutersAreKilled:
+        killAll();
+        break;
     case Event::TargetAppearsWithoutAVersion:
         appear(false);
         break;
@@ -316,9 +405,7 @@
         chosen(m_targets)->second.relay = {};
         break;
     }
-    for (Router &router : m_routers) {
-        synchroniseVersions(router);
-    }
+    synchroniseWhereDue();
 }
 
 }
--- a/src/tests/streamfleet.h
+++ b/src/tests/streamfleet.h
@@ -26,6 +26,8 @@
         std::size_t routers = 3;
         int lossPercent = 0;
         std::uint32_t seed = 0;
+        /// Routers write changed versions to the store within this time; 0: at once. Targets serve for this long at least.
+        int versionsWrittenWithinMs = 0;
     };
 
     enum class Event {
@@ -36,6 +38,8 @@
         TargetLeaves,
         TargetAppearsWithoutAVersion,
         RouterRestarts,
+        AllRoutersAreKilled,
+        OldestVersionLeaves,
         RouterLosesTheStore,
         RouterIsCutOff,
         RouterIsBack,
@@ -45,6 +49,8 @@
     static std::vector<Event> allEvents();
     /// Those after which streams can go on: all routers follow the list, no relay forgets anything, and targets state their versions.
     static std::vector<Event> calmEvents();
+    /// All events, and often the death of all routers around the end of a version.
+    static std::vector<Event> releaseEvents();
 
     explicit StreamFleet(Options options);
 
@@ -71,6 +77,7 @@
     struct Target {
         TargetListing listing;
         StreamOriginStore relay;
+        Instant appearedAt{};
     };
 
     struct Router {
@@ -78,6 +85,11 @@
         StreamOriginStore own;
         bool followsStore = true;
         bool reachesRelays = true;
+        /// Since when it had followed the list, and the versions in it, when it last read and wrote the versions in the store.
+        std::optional<Instant> syncedSince;
+        std::map<std::string, std::set<std::string>> synced;
+        /// When it writes the versions that have changed since.
+        std::optional<Instant> writesAt;
     };
 
     struct Stream {
@@ -101,6 +113,14 @@
     void takeUp(Stream &stream);
     void serve(const Stream &stream, const Router &router, const std::string &version);
     void restart(Router &router);
+    /// Every router dies and starts again, those that are cut off as well.
+    void killAll();
+    /// Removes the target from the list, with the relay beside it.
+    void leave(const std::string &incarnation);
+    bool mayLeave(const Target &target) const;
+    /// Every target of the version that has been in the list for longest leaves.
+    void endOldestVersion();
+    void synchroniseWhereDue();
     void readList(Router &router);
     /// Brings the versions in the store up to date, and tells the router.
     void synchroniseVersions(Router &router);
