Forget the caller's watch before an exception is answered

Cause, by reading: after a handler's exception the server tells the caller that the request failed. If the caller closed just then, its watch would have called the handler's state, which is gone. Change: HttpServer drops the watch first. No run shows it: the answer is a single write, and the watch ends with the exchange right after it. RequestExceptionTest, HttpServerTest and the suites around the gateway hold.

--- a/src/net/answerparser.h
+++ b/src/net/answerparser.h
@@ -44,7 +44,8 @@
         std::size_t maxPartBytes = 16 * 1024;
     };
 
-    /// `request` tells how far the request has been sent on the connection that the answer arrives on. It must outlive this object.
+    /// `request` tells how far the request has been sent on the connection that the answer arrives on. It must outlive the
+    /// parsing.
     AnswerParser(const SendState &request, Options options);
 
     /// The status code, once the head is complete.
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -52,8 +52,8 @@
 
 HttpExchange::~HttpExchange()
 {
+    ignoreCallerDisconnect();
     if (m_watch) {
-        m_watch->callback = nullptr;
         boost::system::error_code ignored;
         m_stream.socket().cancel(ignored);
     }
@@ -242,6 +242,13 @@
     });
 }
 
+void HttpExchange::ignoreCallerDisconnect()
+{
+    if (m_watch) {
+        m_watch->callback = nullptr;
+    }
+}
+
 std::string errorBody(const Failure &failure, std::string_view requestId)
 {
     const auto text = [](std::string_view view) {
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -134,6 +134,9 @@
     /// Invokes the callback once if the caller disconnects before the answer is complete.
     void onCallerDisconnect(std::function<void()> callback);
 
+    /// Drops the callback. Call before what it refers to is destroyed, if the answer goes on.
+    void ignoreCallerDisconnect();
+
     /// Returns true when the connection can serve another request.
     bool keepAlive() const
     {
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -422,6 +422,8 @@
         co_return;
     }
     logException(problem);
+    // The handler and its state are gone.
+    exchange.ignoreCallerDisconnect();
     if (exchange.answered()) {
         exchange.abortConnection();
         co_return;
