Give other connections a turn between the parts of an answer that has arrived

Cause: Beast's composed reads go through the event loop between two parts that need no read; AnswerReader, which replaced them, did not, so that a long answer in the buffer kept other connections waiting. Change: AnswerReader goes through the loop as well. Suites around answers hold.

--- a/src/net/answerreader.cpp
+++ b/src/net/answerreader.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -35,6 +36,10 @@
     Result result{.error = http::error::need_more};
     if (m_buffer.size() > 0) {
         result.error = m_feed.feed(m_parser, m_buffer, result.parsed);
+        if (result.error != http::error::need_more) {
+            // Other connections have their turn between the parts of an answer that has already arrived.
+            co_await asio::post(m_stream.get_executor(), asio::use_awaitable);
+        }
     }
     while (result.error == http::error::need_more) {
         result.error = co_await fillBuffer();
